--- /dev/null
+++ b/bench/stages/scenarios.ts
@@ -0,0 +1,184 @@
+/** The first users' deployments with stages, as their sheets give them, and loads that bind them. */
+import type * as routing from '../../src/routing/Types.js';
+import type * as types from './Types.js';
+
+const CALL_COST_MS = 240;
+const RESULT_LIFE_MS = 4000;
+const MB = 1_000_000;
+const LENGTH_MS = 34_000;
+
+function service(
+  name: string,
+  endpoints: number,
+  items: number,
+  itemCost: number,
+  roomMb: number,
+): types.IStageService {
+  const limits: routing.IBatchLimits = {
+    calls: 1,
+    items,
+    callCost: CALL_COST_MS,
+    itemCost,
+    roomBytes: roomMb * MB,
+    resultLife: RESULT_LIFE_MS,
+  };
+  return { name, endpoints, limits };
+}
+
+function draw(mean: number, spread = 0, max = mean, share = 1, work = 1): types.IItemDraw {
+  return { mean, spread, max, share, work };
+}
+
+function stage(name: string, resultBytes: number, after: readonly number[] = []): routing.IStage {
+  return { service: name, after, resultBytes };
+}
+
+const small = draw(1, 0, 1, 1, 0.3);
+const ranked = draw(6, 0.4, 15);
+
+const kalinaw: types.IScenario = {
+  name: 'kalinaw',
+  zones: 4,
+  engines: 8,
+  lengthMs: LENGTH_MS,
+  bursts: [
+    { kind: 'audit-narrative', fromMs: 6000, untilMs: 11_600, factor: 2.4 },
+    { kind: 'member-summary', fromMs: 13_000, untilMs: 18_900, factor: 2.5 },
+    { kind: undefined, fromMs: 25_000, untilMs: 29_000, factor: 1.7 },
+  ],
+  services: [
+    service('portal', 4, 7, 29.7, 8.4),
+    service('desk', 4, 12, 17.5, 1.37),
+    service('export', 4, 19, 10.9, 0.216),
+  ],
+  kinds: [
+    {
+      name: 'audit-narrative',
+      perSecond: 6.85,
+      goalMs: 1400,
+      deadlineMs: 15_000,
+      worth: 3.9,
+      lateWorth: 0.58,
+      priority: 1,
+      stages: [stage('portal', 800_000)],
+      items: [draw(2.5, 0.6, 10, 0.7)],
+      tokens: 6610,
+      sharedTokens: 5382,
+      subjects: 76,
+      runMs: 700,
+    },
+    {
+      name: 'member-summary',
+      perSecond: 6.21,
+      goalMs: 2000,
+      deadlineMs: 20_000,
+      worth: 1.7,
+      lateWorth: 0.26,
+      priority: 0,
+      stages: [stage('portal', 8000), stage('desk', 60_000, [0]), stage('export', 6000, [1])],
+      items: [small, draw(4), ranked],
+      tokens: 628,
+      sharedTokens: 198,
+      subjects: 105,
+      runMs: 500,
+    },
+    {
+      name: 'entry-classify',
+      perSecond: 8.73,
+      goalMs: 2200,
+      deadlineMs: 6000,
+      worth: 0.43,
+      lateWorth: 0.065,
+      priority: 2,
+      stages: [
+        stage('portal', 800_000),
+        stage('portal', 8000),
+        stage('desk', 60_000, [1]),
+        stage('export', 6000, [2]),
+      ],
+      items: [draw(1.5, 0.6, 6, 0.4), small, draw(4), ranked],
+      tokens: 1800,
+      sharedTokens: 568,
+      subjects: 147,
+      runMs: 60,
+    },
+  ],
+};
+
+const norrsken: types.IScenario = {
+  name: 'norrsken',
+  zones: 3,
+  engines: 6,
+  lengthMs: LENGTH_MS,
+  bursts: [
+    { kind: 'protokoll-resume', fromMs: 2100, untilMs: 8900, factor: 2.5 },
+    { kind: 'medborgar-fraga', fromMs: 16_000, untilMs: 21_900, factor: 2.5 },
+    { kind: undefined, fromMs: 27_000, untilMs: 31_000, factor: 1.7 },
+  ],
+  services: [
+    service('login', 3, 6, 34.7, 7.2),
+    service('search', 4, 19, 10.9, 2.07),
+    service('notice', 4, 14, 14.9, 0.1575),
+  ],
+  kinds: [
+    {
+      name: 'protokoll-resume',
+      perSecond: 3.96,
+      goalMs: 2700,
+      deadlineMs: 20_000,
+      worth: 5.7,
+      lateWorth: 0.85,
+      priority: 0,
+      stages: [
+        stage('login', 800_000),
+        stage('login', 8000),
+        stage('search', 60_000, [1]),
+        stage('notice', 6000, [2]),
+      ],
+      items: [draw(1.5, 0.6, 6, 0.4), small, draw(8), ranked],
+      tokens: 6610,
+      sharedTokens: 5382,
+      subjects: 66,
+      runMs: 600,
+    },
+    {
+      name: 'medborgar-fraga',
+      perSecond: 7.05,
+      goalMs: 2700,
+      deadlineMs: 15_000,
+      worth: 1,
+      lateWorth: 0.15,
+      priority: 1,
+      stages: [stage('login', 8000), stage('search', 60_000, [0]), stage('notice', 6000, [1])],
+      items: [small, draw(8), ranked],
+      tokens: 628,
+      sharedTokens: 198,
+      subjects: 178,
+      runMs: 400,
+    },
+    {
+      name: 'metadata-forslag',
+      perSecond: 6.04,
+      goalMs: 2800,
+      deadlineMs: 4000,
+      worth: 0.4,
+      lateWorth: 0.06,
+      priority: 2,
+      stages: [stage('login', 800_000)],
+      items: [draw(2.5, 0.6, 10, 0.7)],
+      tokens: 1800,
+      sharedTokens: 568,
+      subjects: 68,
+      runMs: 60,
+    },
+  ],
+};
+
+/** The deployments with the bursts of a day. */
+export const SCENARIOS: readonly types.IScenario[] = [kalinaw, norrsken];
+
+/** A scenario under a constant load that is `factor` times its own. */
+export function loaded(scenario: types.IScenario, factor: number): types.IScenario {
+  const bursts = [{ kind: undefined, fromMs: 0, untilMs: scenario.lengthMs, factor }];
+  return { ...scenario, name: `${scenario.name} x${factor}`, bursts };
+}
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,16 @@
 };
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', '**/generated/**', 'out/**', 'coverage/**'] },
+  {
+    ignores: [
+      'dist/**',
+      'target/**',
+      'node_modules/**',
+      '**/generated/**',
+      'out/**',
+      'coverage/**',
+    ],
+  },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
--- /dev/null
+++ b/src/batching/StageLane.ts
@@ -0,0 +1,352 @@
+import type * as commonTypes from '../common/Types.js';
+import type * as commonServices from '../common/services/Services.js';
+import type * as routing from '../routing/Types.js';
+import * as batchChooser from './BatchChooser.js';
+import * as queuedGroup from './QueuedGroup.js';
+import * as stageReplica from './StageReplica.js';
+import * as types from './Types.js';
+
+/** A call that takes this many times its expected time is given up. */
+const TIMEOUT_FACTOR = 3;
+/** No call is given up sooner. */
+const MIN_TIMEOUT_MS = 1200;
+/** Items that arrive together share a call when they come within this time. */
+const GATHER_MS = 3;
+/** Share of a learnt value that a new observation makes up. */
+const LEARN_SHARE = 0.06;
+/** A request that misses its goal is refused once it waited for this share of its time. */
+const PATIENCE_SHARE = 0.4;
+/** A stage with less waiting than this is calm. */
+const CALM_MS = 250;
+/** The pace is measured over this time, as long as there is always something waiting. */
+const PACE_WINDOW_MS = 1500;
+/** A measured pace may be beaten by this much. */
+const PACE_MARGIN = 1.15;
+/** A call is not split over idle endpoints below this share of its fixed cost. */
+const SPLIT_SHARE = 0.3;
+
+/** What a lane works with. */
+export interface ILaneNeeds {
+  readonly clock: commonTypes.IClock;
+  readonly caller: types.IStageCaller;
+  readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
+}
+
+/** One item of a call, with what its group says of it. */
+interface ICalled {
+  readonly waiting: types.IWaitingItem;
+  readonly group: types.IItemGroup;
+}
+
+/** The waiting items and the endpoints of one stage service. */
+export class StageLane implements commonTypes.IDisposable {
+  private queue: queuedGroup.QueuedGroup[] = [];
+
+  private readonly replicas = new Map<string, stageReplica.StageReplica>();
+
+  private timer: commonTypes.IDisposable | undefined;
+
+  private learntWait = 0;
+
+  private learntHold: commonTypes.Millis;
+
+  private learntBytes = 0;
+
+  /** Start of the time since which something waits all along; undefined while nothing does. */
+  private busySince: commonTypes.Millis | undefined;
+
+  private madeSince = 0;
+
+  private measuredPace: number | undefined;
+
+  /** Items that requests which are under way still need, by rank. */
+  private readonly demand = new Map<number, number>();
+
+  private limits: routing.IBatchLimits;
+
+  /** Serves the service `name`. */
+  constructor(
+    private readonly name: string,
+    limits: routing.IBatchLimits,
+    private readonly needs: ILaneNeeds,
+  ) {
+    this.limits = limits;
+    this.learntHold = 2 * limits.callCost;
+  }
+
+  /** Learnt wait of items that meet their goal. */
+  get usualWait(): commonTypes.Millis {
+    return this.learntWait;
+  }
+
+  /** Items that wait. */
+  get waiting(): number {
+    return this.queue.reduce((sum, queued) => sum + queued.waiting, 0);
+  }
+
+  /** Usual time of a call. */
+  get callTime(): commonTypes.Millis {
+    const { callCost, itemCost, items } = this.limits;
+    return callCost + (itemCost * items) / 2;
+  }
+
+  /** Notes that a request with rank `priority` will need `count` items, or no longer needs them if negative. */
+  expect(priority: number, count: number): void {
+    this.demand.set(priority, Math.max(0, (this.demand.get(priority) ?? 0) + count));
+  }
+
+  /** Time until the items that go before a request of this rank are made. */
+  delayFor(priority: number): commonTypes.Millis {
+    const ahead = [...this.demand]
+      .filter(([rank]) => rank <= priority)
+      .reduce((sum, [, count]) => sum + count, 0);
+    return ahead === 0 ? 0 : ahead / this.pace();
+  }
+
+  /** Time until the items that wait here have had their turn. */
+  get queueDelay(): commonTypes.Millis {
+    const { waiting } = this;
+    return waiting === 0 ? 0 : waiting / this.pace();
+  }
+
+  /** Follows the endpoints of the service and its limits. */
+  follow(endpoints: readonly routing.IEndpoint[], limits: routing.IBatchLimits): void {
+    this.limits = limits;
+    const present = new Set(endpoints.map((endpoint) => endpoint.id));
+    [...this.replicas.keys()]
+      .filter((id) => !present.has(id))
+      .forEach((id) => this.replicas.delete(id));
+    endpoints
+      .filter((endpoint) => !this.replicas.has(endpoint.id))
+      .forEach((endpoint) => {
+        this.replicas.set(endpoint.id, new stageReplica.StageReplica(endpoint, limits));
+      });
+    this.wake(0);
+  }
+
+  /** Queues the items of a stage of one request. */
+  add(group: types.IItemGroup): void {
+    this.queue.push(new queuedGroup.QueuedGroup(group));
+    this.wake(GATHER_MS);
+  }
+
+  /** Looks for a free endpoint soon, for example since room was given back. */
+  wake(delay: commonTypes.Millis): void {
+    if (this.timer === undefined && this.queue.length > 0) {
+      this.timer = this.needs.clock.setTimer(delay, () => {
+        this.timer = undefined;
+        this.dispatch();
+      });
+    }
+  }
+
+  /** @inheritdoc */
+  dispose(): void {
+    this.timer?.dispose();
+    const { queue } = this;
+    this.queue = [];
+    queue.forEach((queued) => StageLane.failRest(queued, 'error'));
+  }
+
+  private static failRest(
+    queued: queuedGroup.QueuedGroup,
+    failure: types.ItemFailure | 'expired',
+  ): void {
+    queued.take(queued.waiting).forEach((waiting) => waiting.onFailed(failure));
+  }
+
+  /** Items that all endpoints make in a millisecond, as far as calls and room for results allow. */
+  private pace(): number {
+    const { callCost, itemCost, items, roomBytes } = this.limits;
+    const now = this.needs.clock.monotonic();
+    const usable = [...this.replicas.values()].filter((replica) => replica.blockedFor(now) === 0);
+    const perReplica = usable.reduce((sum, replica) => sum + 1 / replica.slowness, 0);
+    const byCalls = (perReplica * items) / (callCost + itemCost * items);
+    const byRoom =
+      (usable.length * roomBytes) / Math.max(1, this.learntBytes * Math.max(1, this.learntHold));
+    const measured = this.measuredPace ?? Number.POSITIVE_INFINITY;
+    return Math.min(byCalls, byRoom, measured * PACE_MARGIN);
+  }
+
+  /** Measures the pace while something waits all along; forgets it when nothing does. */
+  private measurePace(made: number): void {
+    const now = this.needs.clock.monotonic();
+    if (this.queue.length === 0) {
+      this.busySince = undefined;
+      this.measuredPace = undefined;
+      return;
+    }
+    if (this.busySince === undefined) {
+      this.busySince = now;
+      this.madeSince = 0;
+      return;
+    }
+    this.madeSince += made;
+    const time = now - this.busySince;
+    if (time >= PACE_WINDOW_MS) {
+      this.measuredPace = Math.max(this.madeSince, 1) / time;
+      this.busySince = now;
+      this.madeSince = 0;
+    }
+  }
+
+  private dispatch(): void {
+    const now = this.needs.clock.monotonic();
+    this.dropHopeless(now);
+    while (this.queue.length > 0 && this.startOne(now));
+    if (this.queue.length > 0 && this.timer === undefined) {
+      const waits = [...this.replicas.values()]
+        .map((replica) => replica.blockedFor(now))
+        .filter((wait) => wait > 0);
+      this.wake(Math.min(...waits, this.limits.callCost / 2));
+    }
+  }
+
+  private dropHopeless(now: commonTypes.Millis): void {
+    this.queue = this.queue.filter((queued) => !queued.group.isDropped() && queued.waiting > 0);
+    const expired = this.queue.filter((queued) => StageLane.isHopeless(queued, now));
+    expired.forEach((queued) => StageLane.failRest(queued, 'expired'));
+    this.queue = this.queue.filter((queued) => queued.waiting > 0);
+  }
+
+  /** Whether a request can't be served in time, or waited so long that its caller does better elsewhere. */
+  private static isHopeless(queued: queuedGroup.QueuedGroup, now: commonTypes.Millis): boolean {
+    const { group, isStarted } = queued;
+    const patience = (group.deadlineStart - group.queued) * PATIENCE_SHARE;
+    const isTired = !isStarted && !group.holdsRoom && now - group.queued > patience;
+    return now > group.deadlineStart || (isTired && now > group.goalStart);
+  }
+
+  /** Starts one call; false when no endpoint or no room is free. */
+  private startOne(now: commonTypes.Millis): boolean {
+    const sorted = batchChooser.sortByUrgency(this.queue, now);
+    const all = [...this.replicas.values()];
+    const free = all.filter((replica) => replica.isFree(now) && !replica.isAvoided(now));
+    const ranked = this.rank(free, sorted[0]?.group.nearZone);
+    const limit = this.batchLimit(ranked.length);
+    const everywhere = all.reduce((sum, replica) => sum + replica.roomLeft, 0);
+    const total = all.reduce((sum, replica) => sum + replica.roomTotal, 0);
+    const zones = new Set(
+      all.filter((each) => !each.isAvoided(now)).map((each) => each.endpoint.availabilityZone),
+    );
+    const isCalm = this.queueDelay < CALM_MS;
+    for (const replica of ranked) {
+      const room = { here: replica.roomLeft, everywhere, total };
+      const place = { zone: replica.endpoint.availabilityZone, zones, isCalm, now };
+      const picks = batchChooser.chooseBatch(sorted, limit, room, place);
+      if (picks.length > 0) {
+        this.start(replica, picks, now);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Quick endpoints first, then those near the most urgent item's inputs, then those with room. */
+  private rank(
+    replicas: readonly stageReplica.StageReplica[],
+    zone: string | undefined,
+  ): readonly stageReplica.StageReplica[] {
+    const isNear = (replica: stageReplica.StageReplica): number =>
+      replica.endpoint.availabilityZone === zone ? 0 : 1;
+    const pace = (replica: stageReplica.StageReplica): number => Math.round(replica.slowness * 2);
+    return [...replicas].sort(
+      (a, b) => pace(a) - pace(b) || isNear(a) - isNear(b) || b.roomLeft - a.roomLeft,
+    );
+  }
+
+  /** Spreads few items over idle endpoints, as long as a call stays worth its fixed cost. */
+  private batchLimit(idle: number): number {
+    const { items, callCost, itemCost } = this.limits;
+    const least = Math.ceil((SPLIT_SHARE * callCost) / Math.max(itemCost, 1));
+    const even = Math.ceil(this.waiting / Math.max(1, idle));
+    return Math.min(items, Math.max(least, even));
+  }
+
+  private start(
+    replica: stageReplica.StageReplica,
+    picks: readonly batchChooser.IPick[],
+    now: commonTypes.Millis,
+  ): void {
+    const batch = picks.flatMap(({ group: queued, count }) => {
+      const { group, isStarted } = queued;
+      if (now <= group.goalStart && !isStarted) {
+        this.learntWait += LEARN_SHARE * (now - group.queued - this.learntWait);
+      }
+      return queued.take(count).map((waiting) => ({ waiting, group }));
+    });
+    this.queue = this.queue.filter((queued) => queued.waiting > 0);
+    const bytes = batch.reduce((sum, { group }) => sum + group.bytes, 0);
+    this.learntBytes += LEARN_SHARE * (bytes / batch.length - this.learntBytes);
+    replica.begin(now, batch.length, bytes);
+    void this.call(replica, batch, now);
+  }
+
+  private async call(
+    replica: stageReplica.StageReplica,
+    batch: readonly ICalled[],
+    started: commonTypes.Millis,
+  ): Promise<void> {
+    const { clock, caller, logService, metrics } = this.needs;
+    const timeout = Math.max(MIN_TIMEOUT_MS, TIMEOUT_FACTOR * replica.expectedTime(batch.length));
+    const items = batch.map(({ waiting, group }) => ({
+      ...waiting.item,
+      timeLeft: group.deadline - started,
+    }));
+    const inputs = { service: this.name, endpoint: replica.endpoint.id, items: batch.length };
+    try {
+      const results = await caller.run(replica.endpoint, items, timeout);
+      const now = clock.monotonic();
+      replica.finish(batch.length, now - started);
+      metrics.timing('stage_call', now - started, { service: this.name });
+      batch.forEach((called, at) => this.settle(replica, called, results[at], started));
+      const failed = results.filter((result) => 'failure' in result).length;
+      this.measurePace(batch.length - failed);
+      const took = Math.round(now - started);
+      const waited = Math.round(started - Math.min(...batch.map(({ group }) => group.queued)));
+      logService.info('stage-call', { ...inputs, took, failed, waited, left: this.waiting });
+    } catch (err) {
+      const now = clock.monotonic();
+      const reason = err instanceof types.StageCallError ? err.reason : 'failed';
+      const { message } = err as Error;
+      logService.warn('stage-call-failed', { ...inputs, reason, message });
+      metrics.count('stage_call_failed', { service: this.name, reason });
+      if (reason === 'full') {
+        replica.refuse(now);
+      } else {
+        replica.fail(now);
+      }
+      batch.forEach(({ waiting, group }) => {
+        replica.release(group.bytes);
+        waiting.onFailed('error');
+      });
+    }
+    this.wake(0);
+  }
+
+  private settle(
+    replica: stageReplica.StageReplica,
+    { waiting, group }: ICalled,
+    result: types.ItemResult | undefined,
+    started: commonTypes.Millis,
+  ): void {
+    const { clock, metrics } = this.needs;
+    const now = clock.monotonic();
+    if (result !== undefined && 'handle' in result) {
+      const held = replica.hold(result.handle, group.bytes, now + this.limits.resultLife, () => {
+        this.learntHold += LEARN_SHARE * (clock.monotonic() - started - this.learntHold);
+      });
+      clock.setTimer(this.limits.resultLife, () => held.release());
+      waiting.onMade(held);
+      return;
+    }
+    const failure = result?.failure ?? 'error';
+    replica.release(group.bytes);
+    if (failure === 'room') {
+      replica.pause(now);
+    }
+    metrics.count('stage_item_failed', { service: this.name, reason: failure });
+    waiting.onFailed(failure);
+  }
+}
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -17,6 +17,8 @@
 /** What a replica knows of its group. */
 export interface IReplicaStatus {
   readonly id: string;
+  /** Random number of its data folder. */
+  readonly incarnation: string;
   readonly role: ReplicaRole;
   readonly term: number;
   readonly leaderId: string | undefined;
@@ -49,6 +51,8 @@
   /** Adds a learner, promotes it, or removes a member: one change at a time. */
   changeMembership(change: IMembershipChange): Promise<void>;
   status(): IReplicaStatus;
+  /** Time since a peer answered this leader; undefined when this replica does not lead. */
+  silenceOf(id: string): commonTypes.Millis | undefined;
   /** Fires when this replica becomes or ceases to be leader. */
   readonly onLeadership: commonTypes.IEvent<boolean>;
   /** Fires after each applied index. */
--- a/src/control/replication/Leadership.ts
+++ b/src/control/replication/Leadership.ts
@@ -132,6 +132,14 @@
     return this.tasks.get(id)?.matchIndex ?? 0;
   }
 
+  /** Time since a peer's last answer was asked for; infinite for one that is not followed. */
+  silenceOf(id: string): commonTypes.Millis {
+    const task = this.tasks.get(id);
+    return task === undefined
+      ? Number.POSITIVE_INFINITY
+      : this.state.clock.monotonic() - task.lastAnswered;
+  }
+
   /** Starts tasks for new peers and ends those of removed ones. */
   followMembers(): void {
     const { peers } = this.state;
--- a/src/control/replication/Replica.ts
+++ b/src/control/replication/Replica.ts
@@ -123,6 +123,7 @@
     const { self, role, term, leaderId, commitIndex, members } = this.state;
     return {
       id: self.id,
+      incarnation: self.incarnation,
       role: members.find(self.id)?.voter === false ? 'learner' : role,
       term,
       leaderId,
@@ -132,6 +133,11 @@
     };
   }
 
+  /** Time since a peer answered this leader; undefined when this replica does not lead. */
+  silenceOf(id: string): commonTypes.Millis | undefined {
+    return this.lead?.silenceOf(id);
+  }
+
   /** Syncs of the log since the start, for the measure of the group commit. */
   get syncs(): number {
     return this.state.store.syncs;
--- a/src/control/testing/LocalLog.ts
+++ b/src/control/testing/LocalLog.ts
@@ -55,6 +55,7 @@
   status(): controlTypes.IReplicaStatus {
     return {
       id: this.id,
+      incarnation: '',
       role: this.leads ? 'leader' : 'follower',
       term: 1,
       leaderId: this.leads ? this.id : undefined,
@@ -64,6 +65,9 @@
     };
   }
 
+  /** @inheritdoc */
+  silenceOf(): undefined {}
+
   /** @inheritdoc */
   dispose(): void {}
 }
--- /dev/null
+++ b/src/coordination/Coordinator.ts
@@ -0,0 +1,309 @@
+import * as stageJob from '../batching/StageJob.js';
+import * as stageLane from '../batching/StageLane.js';
+import type * as batching from '../batching/Types.js';
+import type * as commonTypes from '../common/Types.js';
+import type * as commonServices from '../common/services/Services.js';
+import * as enginePlacer from '../placing/EnginePlacer.js';
+import type * as endpointDirectory from '../routing/EndpointDirectory.js';
+import type * as routing from '../routing/Types.js';
+import type * as types from './Types.js';
+
+/** What a coordinator works with. */
+export interface ICoordinatorNeeds {
+  readonly clock: commonTypes.IClock;
+  readonly caller: batching.IStageCaller;
+  readonly directory: endpointDirectory.EndpointDirectory;
+  readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
+}
+
+interface IPlanned {
+  readonly req: types.IPlanRequest;
+  readonly job: stageJob.StageJob;
+  readonly since: commonTypes.Millis;
+  resolve: ((outcome: types.PlanOutcome) => void) | undefined;
+  /** Results that wait for the engine; absent before they are made. */
+  results: readonly batching.IHeldResult[] | undefined;
+  avoid: readonly string[];
+}
+
+/** Results that are given back together. */
+const FREE_INTERVAL_MS = 8;
+/** A refused caller is told to come back no sooner. */
+const MIN_RETRY_MS = 150;
+const MAX_RETRY_MS = 3000;
+/** Results whose life ends within this time are not handed to another engine. */
+const RESULT_MARGIN_MS = 300;
+/** A plan whose end was never told is dropped this long after its deadline. */
+const FORGET_MS = 2000;
+/** An estimate may miss the goal by this share of it: requests that fail or leave make room. */
+const GOAL_SLACK = 0.1;
+/** A request that misses its goal is taken when all work that waits is done within this share of its time. */
+const LATE_SHARE = 0.3;
+
+/**
+ * Plans the requests of all entry VMs in one place, so that batches hold items of many of them.
+ * Holds soft state only: when it is lost, its successor starts with nothing and entries ask again.
+ */
+export class Coordinator implements types.IPlanner, commonTypes.IDisposable {
+  private readonly lanes = new Map<string, stageLane.StageLane>();
+
+  private readonly placers = new Map<string, enginePlacer.EnginePlacer>();
+
+  private readonly plans = new Map<string, IPlanned>();
+
+  private readonly toFree = new Map<string, batching.IHeldResult[]>();
+
+  private freeTimer: commonTypes.IDisposable | undefined;
+
+  private table: routing.IRoutingTable | undefined;
+
+  private readonly subscription: commonTypes.IDisposable;
+
+  /** Plans nothing before `configure`. */
+  constructor(private readonly needs: ICoordinatorNeeds) {
+    this.subscription = needs.directory.onChange(() => this.follow());
+  }
+
+  /** Takes a version of the configuration. */
+  configure(table: routing.IRoutingTable): void {
+    this.table = table;
+    this.follow();
+  }
+
+  /** Plans that wait or run. */
+  get size(): number {
+    return this.plans.size;
+  }
+
+  /** @inheritdoc */
+  plan(req: types.IPlanRequest): Promise<types.PlanOutcome> {
+    const refusal = this.findRefusal(req);
+    if (refusal !== undefined) {
+      this.log(req, refusal, 0);
+      return Promise.resolve(refusal);
+    }
+    return new Promise((resolve) => {
+      const now = this.needs.clock.monotonic();
+      const order: stageJob.IStageOrder = {
+        requestId: req.requestId,
+        stages: req.stages,
+        pieces: req.pieces,
+        key: req.pieceKey,
+        priority: req.priority,
+        goalAt: now + req.goalLeft,
+        deadlineAt: now + req.deadlineLeft,
+        engineTime: enginePlacer.EnginePlacer.usualStart,
+        nearZone: this.placers.get(req.service)?.preferredZone(req.prompt),
+      };
+      const job = new stageJob.StageJob(
+        order,
+        this.needs.clock,
+        (service) => this.lanes.get(service),
+        (end) => this.finishStages(req.planId, end),
+        (results) => this.free(results),
+      );
+      const { planId, avoid } = req;
+      this.plans.set(planId, { req, job, since: now, resolve, results: undefined, avoid });
+      this.needs.clock.setTimer(req.deadlineLeft + FORGET_MS, () => this.drop(planId));
+      job.start();
+    });
+  }
+
+  /** @inheritdoc */
+  again(planId: string, failed: string): Promise<types.PlanOutcome> {
+    const planned = this.plans.get(planId);
+    this.noteFailure(planId, failed);
+    const limit = this.needs.clock.monotonic() + RESULT_MARGIN_MS;
+    if (planned?.results === undefined || planned.results.some(({ expires }) => expires < limit)) {
+      this.drop(planId);
+      return Promise.resolve({ kind: 'refused', reason: 'lost', retryAfter: MIN_RETRY_MS });
+    }
+    planned.avoid = [...planned.avoid, failed];
+    return new Promise((resolve) => {
+      planned.resolve = resolve;
+      this.place(planId, planned);
+    });
+  }
+
+  /** @inheritdoc */
+  cancel(planId: string): void {
+    this.drop(planId);
+  }
+
+  /** @inheritdoc */
+  started(planId: string): void {
+    const planned = this.plans.get(planId);
+    if (planned !== undefined) {
+      this.placers.get(planned.req.service)?.started(planId);
+      planned.results = undefined;
+      planned.job.cancel();
+    }
+  }
+
+  /** @inheritdoc */
+  ended(planId: string, failed?: string): void {
+    if (failed !== undefined) {
+      this.noteFailure(planId, failed);
+    }
+    this.drop(planId);
+  }
+
+  /** @inheritdoc */
+  dispose(): void {
+    this.subscription.dispose();
+    [...this.plans.keys()].forEach((id) => this.drop(id));
+    this.lanes.forEach((lane) => lane.dispose());
+    this.freeTimer?.dispose();
+    this.flushFree();
+  }
+
+  private follow(): void {
+    const { directory, clock } = this.needs;
+    this.table?.services.forEach(({ name, batch, engine }) => {
+      if (batch !== undefined) {
+        const lane = this.lanes.get(name) ?? new stageLane.StageLane(name, batch, this.needs);
+        this.lanes.set(name, lane);
+        lane.follow(directory.ready(name), batch);
+      }
+      if (engine !== undefined) {
+        const placer = this.placers.get(name) ?? new enginePlacer.EnginePlacer(clock, engine);
+        this.placers.set(name, placer);
+        placer.follow(directory.ready(name), engine);
+      }
+    });
+  }
+
+  /** Refuses at once what can't be served in time: the work that goes before it takes longer than it has. */
+  private findRefusal(req: types.IPlanRequest): types.PlanOutcome | undefined {
+    const laneOf = (service: string): stageLane.StageLane | undefined => this.lanes.get(service);
+    const needed = req.stages
+      .map((stage, at) => ({ stage, at, lane: laneOf(stage.service) }))
+      .filter(({ at }) => (req.pieces[at] ?? 0) > 0);
+    if (needed.length === 0) {
+      return undefined;
+    }
+    const rests = needed
+      .filter(({ stage }) => stage.after.length === 0)
+      .map(({ at }) => stageJob.StageJob.restOf(req.stages, req.pieces, at, laneOf));
+    const rest = Math.max(0, ...rests) + enginePlacer.EnginePlacer.usualStart;
+    const delays = (priority: number): readonly number[] =>
+      needed.map(({ lane }) => lane?.delayFor(priority) ?? Number.POSITIVE_INFINITY);
+    const inTime = Math.max(...delays(req.priority)) + rest <= req.goalLeft * (1 + GOAL_SLACK);
+    const whole = Math.max(...delays(Number.POSITIVE_INFINITY)) + rest;
+    if (rest > req.deadlineLeft) {
+      return { kind: 'refused', reason: 'too-late', retryAfter: MIN_RETRY_MS };
+    }
+    if (inTime || whole <= req.deadlineLeft * LATE_SHARE) {
+      return undefined;
+    }
+    const excess = whole - req.goalLeft;
+    const retryAfter = Math.min(Math.max(excess, MIN_RETRY_MS), MAX_RETRY_MS);
+    return { kind: 'refused', reason: 'overloaded', retryAfter };
+  }
+
+  private noteFailure(planId: string, endpoint: string): void {
+    this.placers.forEach((placer) => placer.noteFailure(endpoint));
+    this.needs.logService.warn('engine-failed', { plan: planId, endpoint });
+  }
+
+  private finishStages(planId: string, end: stageJob.JobEnd): void {
+    const planned = this.plans.get(planId);
+    if (planned === undefined) {
+      return;
+    }
+    if (end.kind === 'failed') {
+      const reason = end.reason === 'expired' ? 'too-late' : 'stage-failed';
+      this.settle(planned, { kind: 'refused', reason, retryAfter: MIN_RETRY_MS });
+      this.drop(planId);
+      return;
+    }
+    planned.results = end.results;
+    this.place(planId, planned);
+  }
+
+  /** Chooses the engine once the stages are made. */
+  private place(planId: string, planned: IPlanned): void {
+    const { req, avoid, results = [] } = planned;
+    const inputs = results.map(({ maker, bytes }) => ({ zone: maker.availabilityZone, bytes }));
+    const place = { planId, prompt: req.prompt, inputs, avoid };
+    const endpoint = this.placers.get(req.service)?.place(place);
+    if (endpoint === undefined) {
+      this.settle(planned, { kind: 'refused', reason: 'no-endpoint', retryAfter: MIN_RETRY_MS });
+      this.drop(planId);
+      return;
+    }
+    this.settle(planned, { kind: 'ready', endpoint, inputs: results.map(({ handle }) => handle) });
+  }
+
+  private settle(planned: IPlanned, outcome: types.PlanOutcome): void {
+    const { resolve } = planned;
+    if (resolve !== undefined) {
+      Object.assign(planned, { resolve: undefined });
+      this.log(planned.req, outcome, this.needs.clock.monotonic() - planned.since);
+      resolve(outcome);
+    }
+  }
+
+  private drop(planId: string): void {
+    const planned = this.plans.get(planId);
+    if (planned === undefined) {
+      return;
+    }
+    this.plans.delete(planId);
+    this.placers.get(planned.req.service)?.end(planId);
+    planned.job.cancel();
+    this.settle(planned, { kind: 'refused', reason: 'lost', retryAfter: MIN_RETRY_MS });
+  }
+
+  private log(req: types.IPlanRequest, outcome: types.PlanOutcome, took: commonTypes.Millis): void {
+    const fields = {
+      request: req.requestId,
+      service: req.service,
+      pieces: req.pieces.join('/'),
+      priority: req.priority,
+      goalLeft: Math.round(req.goalLeft),
+      deadlineLeft: Math.round(req.deadlineLeft),
+      took: Math.round(took),
+      config: this.table?.version,
+      endpoints: this.needs.directory.current.revision,
+    };
+    if (outcome.kind === 'ready') {
+      this.needs.logService.info('plan-ready', { ...fields, endpoint: outcome.endpoint.id });
+    } else {
+      const { reason, retryAfter } = outcome;
+      this.needs.logService.info('plan-refused', { ...fields, reason, retryAfter });
+      this.needs.metrics.count('plan_refused', { reason });
+    }
+  }
+
+  private free(results: readonly batching.IHeldResult[]): void {
+    results.forEach((result) => {
+      const waiting = this.toFree.get(result.maker.id) ?? [];
+      waiting.push(result);
+      this.toFree.set(result.maker.id, waiting);
+    });
+    if (this.toFree.size > 0 && this.freeTimer === undefined) {
+      this.freeTimer = this.needs.clock.setTimer(FREE_INTERVAL_MS, () => this.flushFree());
+    }
+  }
+
+  private flushFree(): void {
+    this.freeTimer = undefined;
+    const waiting = [...this.toFree.values()];
+    this.toFree.clear();
+    waiting.forEach((results) => {
+      void this.giveBack(results);
+    });
+  }
+
+  /** Counts room as free only once its holder has agreed. */
+  private async giveBack(results: readonly batching.IHeldResult[]): Promise<void> {
+    const { maker } = results[0] as batching.IHeldResult;
+    const handles = results.map(({ handle }) => handle);
+    if (await this.needs.caller.free(maker, handles)) {
+      results.forEach((result) => result.release());
+      this.lanes.get(maker.service)?.wake(0);
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/FeedClient.ts
@@ -0,0 +1,320 @@
+import * as grpc from '@grpc/grpc-js';
+import * as emitter from '../common/Emitter.js';
+import type * as commonTypes from '../common/Types.js';
+import type * as commonServices from '../common/services/Services.js';
+import type * as routing from '../routing/Types.js';
+import * as feedCodec from './FeedCodec.js';
+import type * as types from './Types.js';
+
+type Stream = grpc.ClientDuplexStream<types.UpMessage, types.DownMessage>;
+
+/** A control VM that sent nothing for this long is given up; four times its interval. */
+const SILENCE_MS = 1600;
+/** Wait for the first message of a control VM. */
+const FIRST_MESSAGE_MS = 700;
+/** Between two tries. */
+const RETRY_MS = 100;
+/** Between two signs of life. */
+const ALIVE_MS = 1000;
+/** A control VM that knows no leader is kept for this long before the next is asked. */
+const LEADERLESS_MS = 600;
+const MAX_MESSAGE_BYTES = 32 * 1024 * 1024;
+const CHANNEL_OPTIONS: grpc.ChannelOptions = {
+  'grpc.max_receive_message_length': MAX_MESSAGE_BYTES,
+  'grpc.initial_reconnect_backoff_ms': RETRY_MS,
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.enable_retries': 0,
+  'grpc.service_config_disable_resolution': 1,
+};
+
+/** What a feed client works with. */
+export interface IFeedClientNeeds {
+  readonly clock: commonTypes.IClock;
+  readonly random: commonTypes.IRandom;
+  readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
+  /** `ip:port` of the feeds that the settings name, as they are now. */
+  readonly seeds: () => readonly string[];
+  /** Name of this VM. */
+  readonly vm: string;
+}
+
+interface IPending {
+  readonly resolve: (outcome: types.PlanOutcome) => void;
+}
+
+const LOST: types.PlanOutcome = { kind: 'refused', reason: 'lost', retryAfter: 100 };
+
+/** Keeps one connection to the control VM that coordinates, and finds the next when it is lost. */
+export class FeedClient implements types.IPlanner, commonTypes.IDisposable {
+  private readonly stop = new AbortController();
+
+  private readonly pending = new Map<string, IPending>();
+
+  private members: readonly string[] = [];
+
+  private leader: string | undefined;
+
+  private stream: Stream | undefined;
+
+  private leads = false;
+
+  private confirmed = false;
+
+  private probing = false;
+
+  private entryCount = 1;
+
+  private position: number;
+
+  private readonly documents = new emitter.Emitter<{ version: number; text: string }>();
+
+  private readonly lists = new emitter.Emitter<routing.IEndpointList>();
+
+  /** Fires with each configuration that arrives. */
+  readonly onDocument = this.documents.event;
+
+  /** Fires with each list of endpoints. */
+  readonly onEndpoints = this.lists.event;
+
+  /** Newest version that this VM has in force; told to control VMs. */
+  version = 0;
+
+  private lostAt: commonTypes.Millis;
+
+  /** Connects once `start` is called. */
+  constructor(private readonly needs: IFeedClientNeeds) {
+    this.position = needs.random.nextInt(64);
+    this.lostAt = needs.clock.monotonic();
+  }
+
+  /** Runs until disposed. */
+  start(): void {
+    void this.run();
+  }
+
+  /** Whether a coordinator is connected. */
+  get isConnected(): boolean {
+    return this.leads;
+  }
+
+  /** Time since the coordinator was lost; 0 while connected. */
+  get disconnectedFor(): commonTypes.Millis {
+    return this.leads ? 0 : this.needs.clock.monotonic() - this.lostAt;
+  }
+
+  /** Entry VMs that the coordinator serves. */
+  get entries(): number {
+    return this.entryCount;
+  }
+
+  /** @inheritdoc */
+  plan(req: types.IPlanRequest): Promise<types.PlanOutcome> {
+    return this.ask(req.planId, { kind: 'plan', plan: req });
+  }
+
+  /** @inheritdoc */
+  again(planId: string, failed: string): Promise<types.PlanOutcome> {
+    return this.ask(planId, { kind: 'again', planId, failed });
+  }
+
+  /** @inheritdoc */
+  cancel(planId: string): void {
+    this.pending.delete(planId);
+    this.send({ kind: 'cancel', planId });
+  }
+
+  /** @inheritdoc */
+  started(planId: string): void {
+    this.send({ kind: 'started', planId });
+  }
+
+  /** @inheritdoc */
+  ended(planId: string, failed?: string): void {
+    this.send({ kind: 'ended', planId, ...(failed === undefined ? {} : { failed }) });
+  }
+
+  /** @inheritdoc */
+  dispose(): void {
+    this.stop.abort(new Error('feed client closed'));
+    this.stream?.cancel();
+  }
+
+  private ask(planId: string, message: types.UpMessage): Promise<types.PlanOutcome> {
+    if (!this.leads) {
+      return Promise.resolve(LOST);
+    }
+    return new Promise((resolve) => {
+      this.pending.set(planId, { resolve });
+      this.send(message);
+    });
+  }
+
+  private send(message: types.UpMessage): void {
+    if (this.leads) {
+      this.stream?.write(message);
+    }
+  }
+
+  private async run(): Promise<void> {
+    const { clock } = this.needs;
+    while (!this.stop.signal.aborted) {
+      const address = this.nextAddress();
+      if (address !== undefined) {
+        await this.session(address);
+      }
+      await clock.sleep(RETRY_MS, this.stop.signal).catch(() => {});
+    }
+  }
+
+  /** The leader that was named, then every control VM that is known in turn. */
+  private nextAddress(): string | undefined {
+    const { leader } = this;
+    this.leader = undefined;
+    if (leader !== undefined) {
+      return leader;
+    }
+    const known = [...new Set([...this.members, ...this.needs.seeds()])];
+    this.position += 1;
+    return known[this.position % Math.max(1, known.length)];
+  }
+
+  /** One connection, from its opening until it is lost or leads elsewhere. */
+  private async session(address: string): Promise<void> {
+    const { clock, logService, vm } = this.needs;
+    const client = new grpc.Client(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS);
+    const stream: Stream = client.makeBidiStreamRequest(
+      feedCodec.FEED_PATH,
+      feedCodec.encode,
+      feedCodec.decodeDown,
+    );
+    this.stream = stream;
+    let heard = clock.monotonic();
+    let first = true;
+    const opened = heard;
+    let ended: string | undefined;
+    stream.on('data', (message: types.DownMessage) => {
+      heard = clock.monotonic();
+      first = false;
+      if (ended === undefined) {
+        this.take(message, address);
+      }
+    });
+    stream.on('error', (err: Error) => {
+      ended = ended ?? err.message;
+    });
+    stream.on('end', () => {
+      ended = ended ?? 'ended';
+    });
+    stream.write({ kind: 'hello', vm, version: this.version });
+    let told = opened;
+    while (ended === undefined && !this.stop.signal.aborted) {
+      await clock.sleep(RETRY_MS, this.stop.signal).catch(() => {});
+      const now = clock.monotonic();
+      if (now - heard > (first ? FIRST_MESSAGE_MS : SILENCE_MS)) {
+        ended ??= 'silent';
+      } else if ((!this.leads || !this.confirmed) && (this.leader ?? address) !== address) {
+        ended ??= 'not-the-leader';
+      } else if (!this.leads && now - opened > LEADERLESS_MS) {
+        ended ??= 'no-leader';
+      }
+      if (this.leads && !this.confirmed) {
+        void this.probe(address);
+      }
+      if (now - told > ALIVE_MS && this.leads) {
+        told = now;
+        this.send({ kind: 'alive' });
+      }
+    }
+    if (this.leads) {
+      logService.warn('coordinator-lost', { address, reason: ended, plans: this.pending.size });
+      this.needs.metrics.count('coordinator_lost');
+      this.lostAt = clock.monotonic();
+    }
+    this.leads = false;
+    stream.cancel();
+    client.close();
+    this.failPending();
+  }
+
+  /** Looks for a confirmed leader elsewhere while the present coordinator may have lost its quorum. */
+  private async probe(present: string): Promise<void> {
+    if (this.probing) {
+      return;
+    }
+    this.probing = true;
+    const known = [...new Set([...this.members, ...this.needs.seeds()])];
+    const found = await Promise.all(
+      known.filter((address) => address !== present).map((address) => this.leadsAt(address)),
+    );
+    this.probing = false;
+    const leader = found.find((address) => address !== undefined);
+    if (leader !== undefined && !this.confirmed) {
+      this.leader = leader;
+    }
+  }
+
+  /** The address when the control VM there leads with a quorum. */
+  private leadsAt(address: string): Promise<string | undefined> {
+    const { clock, vm } = this.needs;
+    const client = new grpc.Client(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS);
+    const stream: Stream = client.makeBidiStreamRequest(
+      feedCodec.FEED_PATH,
+      feedCodec.encode,
+      feedCodec.decodeDown,
+    );
+    return new Promise<string | undefined>((resolve) => {
+      clock.setTimer(FIRST_MESSAGE_MS, () => resolve(undefined));
+      stream.on('error', () => resolve(undefined));
+      stream.on('data', (message: types.DownMessage) => {
+        const leads = message.kind === 'state' && message.leads && message.confirmed;
+        resolve(leads ? address : undefined);
+      });
+      // A version that no document has: only the state is wanted.
+      stream.write({ kind: 'hello', vm, version: Number.MAX_SAFE_INTEGER });
+    }).finally(() => {
+      stream.cancel();
+      client.close();
+    });
+  }
+
+  private take(message: types.DownMessage, address: string): void {
+    switch (message.kind) {
+      case 'state':
+        this.takeState(message, address);
+        break;
+      case 'document':
+        this.documents.fire(message);
+        break;
+      case 'endpoints':
+        this.lists.fire(message.list);
+        break;
+      default: {
+        const waiting = this.pending.get(message.planId);
+        this.pending.delete(message.planId);
+        waiting?.resolve(message.outcome);
+      }
+    }
+  }
+
+  private takeState(state: types.DownMessage & { kind: 'state' }, address: string): void {
+    this.members = state.members.length > 0 ? state.members : this.members;
+    this.entryCount = Math.max(1, state.entries);
+    if (state.leads && !this.leads) {
+      this.needs.logService.info('coordinator-found', { address, term: state.term });
+    }
+    if (this.leads && !state.leads) {
+      this.lostAt = this.needs.clock.monotonic();
+      this.failPending();
+    }
+    this.leads = state.leads;
+    this.confirmed = state.confirmed;
+    this.leader = state.leads ? undefined : state.leader;
+  }
+
+  private failPending(): void {
+    const waiting = [...this.pending.values()];
+    this.pending.clear();
+    waiting.forEach(({ resolve }) => resolve(LOST));
+  }
+}
--- /dev/null
+++ b/src/coordination/FeedServer.ts
@@ -0,0 +1,223 @@
+import type * as grpc from '@grpc/grpc-js';
+import type * as commonTypes from '../common/Types.js';
+import type * as commonServices from '../common/services/Services.js';
+import type * as documentState from '../control/document/DocumentState.js';
+import type * as controlTypes from '../control/Types.js';
+import type * as endpointDirectory from '../routing/EndpointDirectory.js';
+import type * as coordinator from './Coordinator.js';
+import * as feedCodec from './FeedCodec.js';
+import type * as types from './Types.js';
+
+type Stream = grpc.ServerDuplexStream<types.UpMessage, types.DownMessage>;
+
+/** Between two states sent to each entry VM. */
+const STATE_INTERVAL_MS = 400;
+/** A session that sent nothing for this long is closed. */
+const SILENCE_MS = 3000;
+/** A control VM without a leader tells the configuration that it has after this time. */
+const ORPHAN_MS = 1500;
+
+interface ISession {
+  readonly stream: Stream;
+  vm: string;
+  version: number;
+  heard: commonTypes.Millis;
+  readonly plans: Set<string>;
+}
+
+/** What the feed serves. */
+export interface IFeedParts {
+  readonly log: controlTypes.IReplicatedLog;
+  readonly document: documentState.DocumentState;
+  readonly directory: endpointDirectory.EndpointDirectory;
+  readonly coordinator: coordinator.Coordinator;
+  readonly clock: commonTypes.IClock;
+  readonly logService: commonServices.ILogService;
+}
+
+/** Serves entry VMs: configuration, endpoints, and plans when this control VM coordinates. */
+export class FeedServer implements commonTypes.IDisposable {
+  private readonly sessions = new Set<ISession>();
+
+  private readonly subscriptions: commonTypes.IDisposable[] = [];
+
+  private readonly stop = new AbortController();
+
+  private coordinates = false;
+
+  private leaderHeard: commonTypes.Millis;
+
+  /** Registers the feed at `server`. */
+  constructor(
+    server: grpc.Server,
+    private readonly parts: IFeedParts,
+  ) {
+    this.leaderHeard = parts.clock.monotonic();
+    server.addService(feedCodec.FEED_SERVICE, { open: (stream: Stream) => this.open(stream) });
+    this.subscriptions.push(
+      parts.document.onChange(() => this.sendDocument()),
+      parts.directory.onChange((list) => this.broadcast({ kind: 'endpoints', list })),
+      parts.log.onLeadership(() => this.sendState()),
+    );
+    void this.run();
+  }
+
+  /** Whether requests are planned here: this VM leads, or led last and knows no newer leader. */
+  get isCoordinator(): boolean {
+    return this.coordinates;
+  }
+
+  /** Entry VMs that are connected. */
+  get entries(): number {
+    return this.sessions.size;
+  }
+
+  /** @inheritdoc */
+  dispose(): void {
+    this.stop.abort(new Error('feed closed'));
+    this.subscriptions.forEach((subscription) => subscription.dispose());
+    this.sessions.forEach((session) => session.stream.end());
+  }
+
+  private async run(): Promise<void> {
+    const { clock } = this.parts;
+    while (!this.stop.signal.aborted) {
+      this.sendState();
+      this.closeSilent();
+      await clock.sleep(STATE_INTERVAL_MS, this.stop.signal).catch(() => {});
+    }
+  }
+
+  private open(stream: Stream): void {
+    const now = this.parts.clock.monotonic();
+    const session: ISession = { stream, vm: '', version: 0, heard: now, plans: new Set() };
+    this.sessions.add(session);
+    stream.on('data', (message: types.UpMessage) => this.take(session, message));
+    stream.on('error', (err: Error) => this.close(session, err.message));
+    stream.on('end', () => this.close(session, 'ended'));
+    stream.on('cancelled', () => this.close(session, 'cancelled'));
+  }
+
+  private close(session: ISession, reason: string): void {
+    if (!this.sessions.delete(session)) {
+      return;
+    }
+    this.parts.logService.info('feed-closed', { vm: session.vm, reason });
+    session.plans.forEach((id) => this.parts.coordinator.cancel(id));
+    session.stream.end();
+  }
+
+  private closeSilent(): void {
+    const now = this.parts.clock.monotonic();
+    [...this.sessions]
+      .filter((session) => now - session.heard > SILENCE_MS)
+      .forEach((session) => this.close(session, 'silent'));
+  }
+
+  private take(session: ISession, message: types.UpMessage): void {
+    Object.assign(session, { heard: this.parts.clock.monotonic() });
+    const { coordinator: planner } = this.parts;
+    switch (message.kind) {
+      case 'hello':
+        this.greet(session, message.vm, message.version);
+        break;
+      case 'plan':
+        session.plans.add(message.plan.planId);
+        void this.answer(session, message.plan.planId, planner.plan(message.plan));
+        break;
+      case 'again':
+        void this.answer(session, message.planId, planner.again(message.planId, message.failed));
+        break;
+      case 'cancel':
+        session.plans.delete(message.planId);
+        planner.cancel(message.planId);
+        break;
+      case 'started':
+        planner.started(message.planId);
+        break;
+      case 'ended':
+        session.plans.delete(message.planId);
+        planner.ended(message.planId, message.failed);
+        break;
+      default:
+    }
+  }
+
+  private greet(session: ISession, vm: string, version: number): void {
+    Object.assign(session, { vm, version });
+    this.refreshRole();
+    this.parts.logService.info('feed-opened', { vm, version, leads: this.coordinates });
+    session.stream.write(this.state());
+    this.sendTo(session);
+    const list = this.parts.directory.current;
+    if (this.coordinates && list.revision > 0) {
+      session.stream.write({ kind: 'endpoints', list });
+    }
+  }
+
+  private async answer(
+    session: ISession,
+    planId: string,
+    pending: Promise<types.PlanOutcome>,
+  ): Promise<void> {
+    const outcome = await pending;
+    if (outcome.kind === 'refused') {
+      session.plans.delete(planId);
+    }
+    if (this.sessions.has(session)) {
+      session.stream.write({ kind: 'planned', planId, outcome });
+    }
+  }
+
+  private refreshRole(): void {
+    const { log, clock } = this.parts;
+    const { role, leaderId, id } = log.status();
+    if (role === 'leader') {
+      this.coordinates = true;
+    } else if (leaderId !== undefined && leaderId !== id) {
+      this.coordinates = false;
+    }
+    if (leaderId !== undefined) {
+      this.leaderHeard = clock.monotonic();
+    }
+  }
+
+  private state(): types.DownMessage {
+    const { term, leaderId, members, role } = this.parts.log.status();
+    const leader = members.find((member) => member.id === leaderId)?.address;
+    return {
+      kind: 'state',
+      leads: this.coordinates,
+      confirmed: role === 'leader',
+      term,
+      ...(leader === undefined ? {} : { leader }),
+      members: members.map((member) => member.address),
+      entries: this.sessions.size,
+    };
+  }
+
+  private sendState(): void {
+    this.refreshRole();
+    this.broadcast(this.state());
+    this.sendDocument();
+  }
+
+  private sendDocument(): void {
+    this.sessions.forEach((session) => this.sendTo(session));
+  }
+
+  /** Sends the configuration when it is newer and this VM may speak for the group. */
+  private sendTo(session: ISession): void {
+    const { document, clock } = this.parts;
+    const held = document.current;
+    const orphaned = clock.monotonic() - this.leaderHeard > ORPHAN_MS;
+    if (held !== undefined && held.version > session.version && (this.coordinates || orphaned)) {
+      Object.assign(session, { version: held.version });
+      session.stream.write({ kind: 'document', version: held.version, text: held.text });
+    }
+  }
+
+  private broadcast(message: types.DownMessage): void {
+    this.sessions.forEach((session) => session.stream.write(message));
+  }
+}
--- /dev/null
+++ b/src/coordination/Types.ts
@@ -0,0 +1,86 @@
+/** Contracts between entry VMs and the coordinator that plans their requests together. */
+import type * as commonTypes from '../common/Types.js';
+import type * as placing from '../placing/Types.js';
+import type * as routing from '../routing/Types.js';
+
+/** A request that needs stages or a model engine. */
+export interface IPlanRequest {
+  /** Names the plan; a request that is planned again has another. */
+  readonly planId: string;
+  readonly requestId: string;
+  /** Name of the engines' service. */
+  readonly service: string;
+  readonly stages: readonly routing.IStage[];
+  readonly pieces: readonly number[];
+  readonly pieceKey: string;
+  readonly priority: number;
+  /** Time until the goal is missed. */
+  readonly goalLeft: commonTypes.Millis;
+  /** Time until the caller stops waiting. */
+  readonly deadlineLeft: commonTypes.Millis;
+  readonly prompt: placing.IPrompt;
+  /** Engines that failed this request. */
+  readonly avoid: readonly string[];
+}
+
+/** Why a plan was refused. The request has not run. */
+export type PlanRefusal = 'overloaded' | 'too-late' | 'stage-failed' | 'no-endpoint' | 'lost';
+
+/** What the coordinator decided. */
+export type PlanOutcome =
+  | {
+      readonly kind: 'ready';
+      readonly endpoint: routing.IEndpoint;
+      /** Handles of the results that the engine reads. */
+      readonly inputs: readonly string[];
+    }
+  | {
+      readonly kind: 'refused';
+      readonly reason: PlanRefusal;
+      /** When it is worth to come back. */
+      readonly retryAfter: commonTypes.Millis;
+    };
+
+/** Plans requests: makes their stages and chooses their engine. */
+export interface IPlanner {
+  /** Plans a request; resolves once its stages are made or it is refused. */
+  plan(req: IPlanRequest): Promise<PlanOutcome>;
+  /** The chosen engine `failed` before the request ran there: chooses another for the same results. */
+  again(planId: string, failed: string): Promise<PlanOutcome>;
+  /** The caller has left, or the plan is not wanted any more. */
+  cancel(planId: string): void;
+  /** The engine answers: its inputs are used. */
+  started(planId: string): void;
+  /** The engine is done with the request; `failed` names an engine that failed it. */
+  ended(planId: string, failed?: string): void;
+}
+
+/** From an entry VM to the coordinator. */
+export type UpMessage =
+  | { readonly kind: 'hello'; readonly vm: string; readonly version: number }
+  | { readonly kind: 'plan'; readonly plan: IPlanRequest }
+  | { readonly kind: 'again'; readonly planId: string; readonly failed: string }
+  | { readonly kind: 'cancel'; readonly planId: string }
+  | { readonly kind: 'started'; readonly planId: string }
+  | { readonly kind: 'ended'; readonly planId: string; readonly failed?: string }
+  | { readonly kind: 'alive' };
+
+/** From a control VM to an entry VM. */
+export type DownMessage =
+  | {
+      readonly kind: 'state';
+      /** Whether the sender plans requests. */
+      readonly leads: boolean;
+      /** Whether a quorum follows the sender; false for one that planned last and knows no successor. */
+      readonly confirmed: boolean;
+      readonly term: number;
+      /** `ip:port` of the leader's feed, when known. */
+      readonly leader?: string;
+      /** `ip:port` of the feed of every control VM that is known. */
+      readonly members: readonly string[];
+      /** Entry VMs that are connected. */
+      readonly entries: number;
+    }
+  | { readonly kind: 'document'; readonly version: number; readonly text: string }
+  | { readonly kind: 'endpoints'; readonly list: routing.IEndpointList }
+  | { readonly kind: 'planned'; readonly planId: string; readonly outcome: PlanOutcome };
--- /dev/null
+++ b/src/placing/EnginePlacer.ts
@@ -0,0 +1,175 @@
+import type * as commonTypes from '../common/Types.js';
+import type * as routing from '../routing/Types.js';
+import * as engineState from './EngineState.js';
+import * as promptMemory from './PromptMemory.js';
+import type * as types from './Types.js';
+
+/** Share of an engine's memory that cached prompt parts are assumed to have. */
+const CACHE_SHARE = 0.6;
+/** Cost of running beside one more request, in prompt tokens: each request slows the others' tokens. */
+const TOKENS_PER_RUNNING = 120;
+/** Cost of prompt tokens that wait to be read there, against tokens of the request's own. */
+const WAITING_SHARE = 0.7;
+/** Cost of a byte of inputs that crosses zones, in prompt tokens. */
+const TOKENS_PER_BYTE = 1 / 2000;
+/** Part of the requests' places that are used before an engine counts as full. */
+const FULL_SHARE = 0.95;
+/** A request that slowed down is remembered this long. */
+const PREFILL_MEMORY_MS = 400;
+
+interface IRun {
+  readonly engine: engineState.EngineState;
+  readonly tokens: number;
+  started: boolean;
+}
+
+/** Where a request's inputs lie. */
+export interface IInputPlace {
+  readonly zone: string;
+  readonly bytes: number;
+}
+
+/** What a placement asks. */
+export interface IPlaceRequest {
+  readonly planId: string;
+  readonly prompt: types.IPrompt;
+  readonly inputs: readonly IInputPlace[];
+  /** Endpoints that failed this request. */
+  readonly avoid: readonly string[];
+}
+
+/**
+ * Chooses a model engine for each request of one service: shared prompt parts are read once where the
+ * queue allows, inputs stay in their availability zone, and an engine that fails is left out for a while.
+ * Answers calm load and the crash of some engines.
+ *
+ * @example
+ * const endpoint = placer.place(req);
+ */
+export class EnginePlacer {
+  private readonly engines = new Map<string, engineState.EngineState>();
+
+  private readonly runs = new Map<string, IRun>();
+
+  private limits: routing.IEngineLimits;
+
+  /** Places on engines with `limits`. */
+  constructor(
+    private readonly clock: commonTypes.IClock,
+    limits: routing.IEngineLimits,
+  ) {
+    this.limits = limits;
+  }
+
+  /** Follows the endpoints that are ready. */
+  follow(endpoints: readonly routing.IEndpoint[], limits: routing.IEngineLimits): void {
+    this.limits = limits;
+    const present = new Set(endpoints.map((endpoint) => endpoint.id));
+    [...this.engines.keys()]
+      .filter((id) => !present.has(id))
+      .forEach((id) => this.engines.delete(id));
+    endpoints
+      .filter((endpoint) => !this.engines.has(endpoint.id))
+      .forEach((endpoint) => {
+        const memory = new promptMemory.PromptMemory(limits.cacheTokens * CACHE_SHARE);
+        this.engines.set(endpoint.id, new engineState.EngineState(endpoint, memory));
+      });
+  }
+
+  /** Chooses an engine and counts the request there until `end`; undefined when there is none. */
+  place(req: IPlaceRequest): routing.IEndpoint | undefined {
+    const now = this.clock.monotonic();
+    const engines = [...this.engines.values()].filter(
+      (engine) => !req.avoid.includes(engine.endpoint.id),
+    );
+    const sound = engines.filter((engine) => engine.ejectedUntil <= now);
+    const chosen = this.cheapest(sound.length > 0 ? sound : engines, req);
+    if (chosen === undefined) {
+      return undefined;
+    }
+    this.begin(chosen, req);
+    return chosen.endpoint;
+  }
+
+  /** The engine has read the request's prompt. */
+  started(planId: string): void {
+    const run = this.runs.get(planId);
+    if (run !== undefined) {
+      if (!run.started) {
+        run.started = true;
+        run.engine.started(run.tokens);
+      }
+    }
+  }
+
+  /** The request left its engine. */
+  end(planId: string): void {
+    const run = this.runs.get(planId);
+    if (run !== undefined) {
+      this.started(planId);
+      this.runs.delete(planId);
+      run.engine.end();
+    }
+  }
+
+  /** An engine failed a request. */
+  noteFailure(endpointId: string): void {
+    this.engines.get(endpointId)?.fail(this.clock.monotonic());
+  }
+
+  /** Availability zone of the engine that has read most of a prompt; undefined when none has. */
+  preferredZone(prompt: types.IPrompt): string | undefined {
+    let most = 0;
+    let zone: string | undefined;
+    this.engines.forEach(({ endpoint, memory }) => {
+      const known = memory.knownTokens(prompt);
+      if (known > most) {
+        most = known;
+        zone = endpoint.availabilityZone;
+      }
+    });
+    return zone;
+  }
+
+  /** Usual time until a request's first token once it is sent. */
+  static get usualStart(): commonTypes.Millis {
+    return PREFILL_MEMORY_MS / 2;
+  }
+
+  private begin(engine: engineState.EngineState, req: IPlaceRequest): void {
+    this.end(req.planId);
+    const tokens = engine.begin(req.prompt);
+    this.runs.set(req.planId, { engine, tokens, started: false });
+  }
+
+  private cheapest(
+    engines: readonly engineState.EngineState[],
+    req: IPlaceRequest,
+  ): engineState.EngineState | undefined {
+    const full = this.limits.slots * FULL_SHARE;
+    let best: engineState.EngineState | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    engines.forEach((engine) => {
+      const overfull = Math.max(0, engine.running - full) * this.limits.cacheTokens;
+      const cost = this.costOf(engine, req) + overfull;
+      if (cost < bestCost) {
+        best = engine;
+        bestCost = cost;
+      }
+    });
+    return best;
+  }
+
+  private costOf(engine: engineState.EngineState, req: IPlaceRequest): number {
+    const unread = req.prompt.tokensIn - engine.memory.knownTokens(req.prompt);
+    const crossing = req.inputs
+      .filter((input) => input.zone !== engine.endpoint.availabilityZone)
+      .reduce((sum, input) => sum + input.bytes, 0);
+    return (
+      unread +
+      engine.waitingTokens * WAITING_SHARE +
+      engine.running * TOKENS_PER_RUNNING +
+      crossing * TOKENS_PER_BYTE
+    );
+  }
+}
--- /dev/null
+++ b/src/placing/EngineState.ts
@@ -0,0 +1,66 @@
+import type * as commonTypes from '../common/Types.js';
+import type * as routing from '../routing/Types.js';
+import type * as promptMemory from './PromptMemory.js';
+import type * as types from './Types.js';
+
+/** A failed engine gets nothing for this long; doubles with each further failure. */
+const EJECT_MS = 700;
+const MAX_EJECT_MS = 5000;
+
+/** What the placing knows of one engine. */
+export class EngineState {
+  private runningCount = 0;
+
+  private tokensToRead = 0;
+
+  private ejected: commonTypes.Millis = 0;
+
+  private failures = 0;
+
+  /** Knows nothing of the load of `endpoint` yet. */
+  constructor(
+    readonly endpoint: routing.IEndpoint,
+    readonly memory: promptMemory.PromptMemory,
+  ) {}
+
+  /** Requests that are placed here. */
+  get running(): number {
+    return this.runningCount;
+  }
+
+  /** Prompt tokens of requests that have not started. */
+  get waitingTokens(): number {
+    return this.tokensToRead;
+  }
+
+  /** Until when it gets nothing. */
+  get ejectedUntil(): commonTypes.Millis {
+    return this.ejected;
+  }
+
+  /** Places a request here; the result is what the engine has to read of its prompt. */
+  begin(prompt: types.IPrompt): number {
+    const tokens = Math.max(0, prompt.tokensIn - this.memory.knownTokens(prompt));
+    this.memory.note(prompt);
+    this.runningCount += 1;
+    this.tokensToRead += tokens;
+    return tokens;
+  }
+
+  /** A request's prompt of `tokens` was read. */
+  started(tokens: number): void {
+    this.tokensToRead -= tokens;
+    this.failures = 0;
+  }
+
+  /** A request left. */
+  end(): void {
+    this.runningCount -= 1;
+  }
+
+  /** A request failed here. */
+  fail(now: commonTypes.Millis): void {
+    this.failures += 1;
+    this.ejected = now + Math.min(EJECT_MS * 2 ** (this.failures - 1), MAX_EJECT_MS);
+  }
+}
--- a/vitest.config.js
+++ b/vitest.config.js
@@ -2,7 +2,12 @@
 
 export default config.defineConfig({
   test: {
-    include: ['src/**/*.test.ts', 'bench/**/*.test.ts', 'examples/**/*.test.ts'],
+    include: [
+      'src/**/*.test.ts',
+      'platform/**/*.test.ts',
+      'bench/**/*.test.ts',
+      'examples/**/*.test.ts',
+    ],
     pool: 'forks',
     poolOptions: { forks: { maxForks: 4 } },
     testTimeout: 60000,
