Refuse early what is late, keep results for the next engine, find the next leader sooner

Traces showed stage calls of 2 to 9 items while over 60 waited: room was held by late requests, and a request held 8 KB upstream went before all others for it. A throttle on later stages counted less urgent work against it.

Results are kept for another engine when one fails before its first event. An engine that starts nothing is left out. Entries ask all control VMs at once for the leader, and are told of its state each 250 ms.

--- a/bench/stages/NaivePlanner.ts
+++ b/bench/stages/NaivePlanner.ts
@@ -64,7 +64,9 @@
   ended(planId: string): void {
     const held = this.held.get(planId) ?? [];
     this.held.delete(planId);
-    held.forEach(({ endpoint, handle }) => void this.caller.free(endpoint, [handle]));
+    held.forEach(({ endpoint, handle }) => {
+      void this.caller.free(endpoint, [handle]);
+    });
   }
 
   private next(service: string): routing.IEndpoint | undefined {
@@ -80,7 +82,7 @@
     inputs: readonly string[],
     deadline: number,
   ): Promise<string | undefined> {
-    const service = (req.stages[stage] as routing.IStage).service;
+    const { service } = req.stages[stage] as routing.IStage;
     const source = inputs.length === 0 ? { key: req.pieceKey } : { inputs };
     while (this.clock.monotonic() < deadline) {
       const endpoint = this.next(service) as routing.IEndpoint;
--- a/bench/stages/Play.ts
+++ b/bench/stages/Play.ts
@@ -16,6 +16,8 @@
 const TOKENS_PER_MS = 50;
 const FIRST_TOKEN_MS = 20;
 const HOP_MS = 2;
+/** Requests that arrive together. */
+const CLUMP = 3;
 /** Arrivals are drawn for this span at a time. */
 const STEP_MS = 10;
 
@@ -110,9 +112,9 @@
       .filter((burst) => burst.kind === undefined || burst.kind === kind.name)
       .filter((burst) => time >= burst.fromMs && time < burst.untilMs)
       .reduce((product, burst) => product * burst.factor, 1);
-    const mean = (kind.perSecond * factor * STEP_MS) / 1000;
-    for (let left = mean; left > 0; left -= 1) {
-      if (this.random.next() < Math.min(1, left)) {
+    const mean = (kind.perSecond * factor * STEP_MS) / 1000 / CLUMP;
+    if (this.random.next() < mean) {
+      for (let count = 0; count < CLUMP; count++) {
         void this.request(kind);
       }
     }
--- a/bench/stages/SimulatedStages.ts
+++ b/bench/stages/SimulatedStages.ts
@@ -71,8 +71,8 @@
   use(handles: readonly string[]): boolean {
     const found = handles.map((handle) => this.find(handle));
     found.forEach((result) => {
-      if (result !== undefined) {
-        result.used = true;
+      if (result !== undefined && !result.used) {
+        Object.assign(result, { used: true });
         this.counts.usedMs += result.timeMs;
       }
     });
@@ -85,15 +85,14 @@
     items: readonly batching.IStageItem[],
   ): Promise<readonly batching.ItemResult[]> {
     const { limits } = this.serviceOf(endpoint.service);
-    maker.waiting -= 1;
-    maker.busy = true;
+    Object.assign(maker, { waiting: maker.waiting - 1, busy: true });
     const planned = items.map((item) => this.admit(maker, limits, item));
     const made = planned.filter((plan) => 'bytes' in plan).length;
     const itemTime = planned.reduce((sum, plan) => sum + ('bytes' in plan ? plan.timeMs : 0), 0);
     const time = limits.callCost + itemTime;
     this.counts.busyMs += time;
     await this.clock.sleep(time);
-    maker.busy = false;
+    Object.assign(maker, { busy: false });
     return planned.map((plan) => {
       if (!('bytes' in plan)) {
         return plan;
@@ -118,6 +117,7 @@
       this.counts.gone += 1;
       return { failure: 'gone' };
     }
+    this.use(inputs);
     if (maker.usedBytes + bytes > limits.roomBytes) {
       this.counts.noRoom += 1;
       return { failure: 'room' };
--- a/bench/stages/tool.ts
+++ b/bench/stages/tool.ts
@@ -1,4 +1,4 @@
-/** `node dist/bench/stages/tool.js [SEEDS]`: plays the scenarios and prints what callers get, by kind. */
+/** `node dist/bench/stages/tool.js [SEEDS] [ours|naive]`: plays the scenarios and prints what callers get, by kind. */
 import * as naivePlanner from './NaivePlanner.js';
 import * as play from './Play.js';
 import * as scenarios from './scenarios.js';
@@ -22,11 +22,13 @@
     scenarios.loaded(scenario, 1),
     scenarios.loaded(scenario, 2),
   ]);
+  const planners = [
+    ['ours', play.makeCoordinator],
+    ['naive', naivePlanner.makeNaive],
+  ] as const;
+  const wanted = process.argv[3];
   for (const scenario of all) {
-    for (const [name, make] of [
-      ['ours', play.makeCoordinator],
-      ['naive', naivePlanner.makeNaive],
-    ] as const) {
+    for (const [name, make] of planners.filter(([each]) => (wanted ?? each) === each)) {
       const results: types.IPlayResult[] = [];
       for (let seed = 1; seed <= seeds; seed++) {
         results.push(await new play.Play(scenario, seed, make).run());
--- a/src/batching/BatchChooser.ts
+++ b/src/batching/BatchChooser.ts
@@ -8,15 +8,15 @@
 import type * as queuedGroup from './QueuedGroup.js';
 
 /** One rank counts as this much less urgency: the more urgent kind goes first, but an old request of the other is not overtaken for ever. */
-const RANK_SHIFT_MS = 1000;
+const RANK_SHIFT_MS = 5000;
 /** Puts every request that misses its goal behind every one that meets it. */
 const LATE_SHIFT_MS = 1_000_000;
 /** Puts a request that holds room before the others of its kind. */
 const HOLD_SHIFT_MS = 500_000;
 /** Smaller results may pass a request that waits for room when they are below this share of its own. */
 const PASSING_SHARE = 0.1;
-/** A request is not begun while its results would wait longer than this for the next stage; about two calls. */
-const MAX_DELAY_AFTER_MS = 700;
+/** A request is not begun while its results would wait longer than this for the next stage; about three calls. */
+const MAX_DELAY_AFTER_MS = 1000;
 /** Results of this size are made where they are wanted, as far as there is time. */
 const LARGE_RESULT_BYTES = 100_000;
 /** A request that could start this much later waits for an endpoint in the zone where its results are wanted. */
--- a/src/batching/StageJob.ts
+++ b/src/batching/StageJob.ts
@@ -185,7 +185,9 @@
     missing.forEach((at) => {
       slots[at] = 'waiting';
     });
-    const handles = (inputs as readonly types.IHeldResult[]).map((result) => result.handle);
+    const held = inputs as readonly types.IHeldResult[];
+    const handles = held.map((result) => result.handle);
+    const heldBytes = held.reduce((sum, result) => sum + result.bytes, 0);
     const rest =
       StageJob.restOf(this.order.stages, this.order.pieces, position, this.laneOf) +
       this.order.engineTime;
@@ -199,7 +201,8 @@
       priority,
       queued: this.clock.monotonic(),
       nearZone: this.nearZone,
-      holdsRoom: handles.length > 0 || slots.some(isHeld),
+      holdsRoom: heldBytes > stage.resultBytes * missing.length,
+      inputsExpire: Math.min(Number.POSITIVE_INFINITY, ...held.map(({ expires }) => expires)),
       delayAfter: () => this.delayAfter(position),
       isDropped: () => this.ended,
     });
@@ -288,7 +291,8 @@
   private delayAfter(position: number): commonTypes.Millis {
     const delays = this.followersOf(position).map((at) => {
       const { service } = this.order.stages[at] as routing.IStage;
-      return Math.max(this.laneOf(service)?.queueDelay ?? 0, this.delayAfter(at));
+      const delay = this.laneOf(service)?.queueDelay(this.order.priority) ?? 0;
+      return Math.max(delay, this.delayAfter(at));
     });
     return Math.max(0, ...delays);
   }
--- a/src/batching/StageLane.ts
+++ b/src/batching/StageLane.ts
@@ -15,7 +15,9 @@
 /** Share of a learnt value that a new observation makes up. */
 const LEARN_SHARE = 0.06;
 /** A request that misses its goal is refused once it waited for this share of its time. */
-const PATIENCE_SHARE = 0.4;
+const PATIENCE_SHARE = 0.1;
+/** Inputs whose life ends within this time are not sent for: the endpoint fetches them a moment later. */
+const INPUT_MARGIN_MS = 60;
 /** A stage with less waiting than this is calm. */
 const CALM_MS = 250;
 /** The pace is measured over this time, as long as there is always something waiting. */
@@ -23,7 +25,7 @@
 /** A measured pace may be beaten by this much. */
 const PACE_MARGIN = 1.15;
 /** A call is not split over idle endpoints below this share of its fixed cost. */
-const SPLIT_SHARE = 0.3;
+const SPLIT_SHARE = 1;
 
 /** What a lane works with. */
 export interface ILaneNeeds {
@@ -104,9 +106,11 @@
     return ahead === 0 ? 0 : ahead / this.pace();
   }
 
-  /** Time until the items that wait here have had their turn. */
-  get queueDelay(): commonTypes.Millis {
-    const { waiting } = this;
+  /** Time until the items that wait here and go before one of rank `priority` have had their turn. */
+  queueDelay(priority: number): commonTypes.Millis {
+    const waiting = this.queue
+      .filter((queued) => queued.group.priority <= priority)
+      .reduce((sum, queued) => sum + queued.waiting, 0);
     return waiting === 0 ? 0 : waiting / this.pace();
   }
 
@@ -205,6 +209,9 @@
 
   private dropHopeless(now: commonTypes.Millis): void {
     this.queue = this.queue.filter((queued) => !queued.group.isDropped() && queued.waiting > 0);
+    const latest = now + INPUT_MARGIN_MS;
+    const stale = this.queue.filter((queued) => queued.group.inputsExpire < latest);
+    stale.forEach((queued) => StageLane.failRest(queued, 'gone'));
     const expired = this.queue.filter((queued) => StageLane.isHopeless(queued, now));
     expired.forEach((queued) => StageLane.failRest(queued, 'expired'));
     this.queue = this.queue.filter((queued) => queued.waiting > 0);
@@ -230,7 +237,7 @@
     const zones = new Set(
       all.filter((each) => !each.isAvoided(now)).map((each) => each.endpoint.availabilityZone),
     );
-    const isCalm = this.queueDelay < CALM_MS;
+    const isCalm = this.queueDelay(Number.POSITIVE_INFINITY) < CALM_MS;
     for (const replica of ranked) {
       const room = { here: replica.roomLeft, everywhere, total };
       const place = { zone: replica.endpoint.availabilityZone, zones, isCalm, now };
--- a/src/batching/Types.ts
+++ b/src/batching/Types.ts
@@ -85,8 +85,10 @@
   readonly queued: commonTypes.Millis;
   /** Availability zone where the inputs lie, or where the results are wanted. */
   readonly nearZone: string | undefined;
-  /** Whether results of the request hold room already: at this stage, or at stages before it. */
+  /** Whether the request holds more room in earlier stages than it will need here. */
   readonly holdsRoom: boolean;
+  /** End of the life of the inputs; infinite without any. */
+  readonly inputsExpire: commonTypes.Millis;
   /** Time that the results would wait for their turn in the stages after this one. */
   delayAfter(): commonTypes.Millis;
   /** Whether nobody waits for it any more. */
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -31,13 +31,12 @@
 const FREE_INTERVAL_MS = 8;
 /** A refused caller is told to come back no sooner. */
 const MIN_RETRY_MS = 150;
-const MAX_RETRY_MS = 3000;
+/** A caller whose goal is missed anyway comes back after this share of its time: most bursts are over, and time is left. */
+const RETURN_SHARE = 0.3;
 /** Results whose life ends within this time are not handed to another engine. */
 const RESULT_MARGIN_MS = 300;
 /** A plan whose end was never told is dropped this long after its deadline. */
 const FORGET_MS = 2000;
-/** An estimate may miss the goal by this share of it: requests that fail or leave make room. */
-const GOAL_SLACK = 0.1;
 /** A request that misses its goal is taken when all work that waits is done within this share of its time. */
 const LATE_SHARE = 0.3;
 
@@ -189,7 +188,7 @@
     const rest = Math.max(0, ...rests) + enginePlacer.EnginePlacer.usualStart;
     const delays = (priority: number): readonly number[] =>
       needed.map(({ lane }) => lane?.delayFor(priority) ?? Number.POSITIVE_INFINITY);
-    const inTime = Math.max(...delays(req.priority)) + rest <= req.goalLeft * (1 + GOAL_SLACK);
+    const inTime = Math.max(...delays(req.priority)) + rest <= req.goalLeft;
     const whole = Math.max(...delays(Number.POSITIVE_INFINITY)) + rest;
     if (rest > req.deadlineLeft) {
       return { kind: 'refused', reason: 'too-late', retryAfter: MIN_RETRY_MS };
@@ -197,8 +196,7 @@
     if (inTime || whole <= req.deadlineLeft * LATE_SHARE) {
       return undefined;
     }
-    const excess = whole - req.goalLeft;
-    const retryAfter = Math.min(Math.max(excess, MIN_RETRY_MS), MAX_RETRY_MS);
+    const retryAfter = Math.max(MIN_RETRY_MS, req.deadlineLeft * RETURN_SHARE);
     return { kind: 'refused', reason: 'overloaded', retryAfter };
   }
 
@@ -262,6 +260,7 @@
       service: req.service,
       pieces: req.pieces.join('/'),
       priority: req.priority,
+      key: req.pieceKey,
       goalLeft: Math.round(req.goalLeft),
       deadlineLeft: Math.round(req.deadlineLeft),
       took: Math.round(took),
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -9,7 +9,7 @@
 type Stream = grpc.ClientDuplexStream<types.UpMessage, types.DownMessage>;
 
 /** A control VM that sent nothing for this long is given up; four times its interval. */
-const SILENCE_MS = 1600;
+const SILENCE_MS = 1000;
 /** Wait for the first message of a control VM. */
 const FIRST_MESSAGE_MS = 700;
 /** Between two tries. */
@@ -159,7 +159,7 @@
   private async run(): Promise<void> {
     const { clock } = this.needs;
     while (!this.stop.signal.aborted) {
-      const address = this.nextAddress();
+      const address = (await this.findLeader(undefined)) ?? this.nextAddress();
       if (address !== undefined) {
         await this.session(address);
       }
@@ -219,7 +219,7 @@
         ended ??= 'no-leader';
       }
       if (this.leads && !this.confirmed) {
-        void this.probe(address);
+        void this.look(address);
       }
       if (now - told > ALIVE_MS && this.leads) {
         told = now;
@@ -238,24 +238,29 @@
   }
 
   /** Looks for a confirmed leader elsewhere while the present coordinator may have lost its quorum. */
-  private async probe(present: string): Promise<void> {
+  private async look(present: string): Promise<void> {
     if (this.probing) {
       return;
     }
     this.probing = true;
-    const known = [...new Set([...this.members, ...this.needs.seeds()])];
-    const found = await Promise.all(
-      known.filter((address) => address !== present).map((address) => this.leadsAt(address)),
-    );
+    const found = await this.findLeader(present);
     this.probing = false;
-    const leader = found.find((address) => address !== undefined);
-    if (leader !== undefined && !this.confirmed) {
-      this.leader = leader;
+    if (found !== undefined && !this.confirmed) {
+      this.leader = found;
     }
   }
 
-  /** The address when the control VM there leads with a quorum. */
-  private leadsAt(address: string): Promise<string | undefined> {
+  /** Asks every control VM that is known but `except` at once; the first that leads with a quorum. */
+  private async findLeader(except: string | undefined): Promise<string | undefined> {
+    const known = [...new Set([...this.members, ...this.needs.seeds()])];
+    const asked = known
+      .filter((address) => address !== except)
+      .map((address) => this.leadsAt(address));
+    return Promise.any(asked).catch(() => undefined);
+  }
+
+  /** Resolves with the address when the control VM there leads with a quorum; rejects otherwise. */
+  private leadsAt(address: string): Promise<string> {
     const { clock, vm } = this.needs;
     const client = new grpc.Client(address, grpc.credentials.createInsecure(), CHANNEL_OPTIONS);
     const stream: Stream = client.makeBidiStreamRequest(
@@ -263,15 +268,19 @@
       feedCodec.encode,
       feedCodec.decodeDown,
     );
-    return new Promise<string | undefined>((resolve) => {
-      clock.setTimer(FIRST_MESSAGE_MS, () => resolve(undefined));
-      stream.on('error', () => resolve(undefined));
+    return new Promise<string>((resolve, reject) => {
+      clock.setTimer(FIRST_MESSAGE_MS, () => reject(new Error('no answer')));
+      stream.on('error', reject);
       stream.on('data', (message: types.DownMessage) => {
-        const leads = message.kind === 'state' && message.leads && message.confirmed;
-        resolve(leads ? address : undefined);
+        if (message.kind === 'state') {
+          this.members = message.members.length > 0 ? message.members : this.members;
+          if (message.leads && message.confirmed) {
+            resolve(address);
+          }
+          reject(new Error('not the leader'));
+        }
       });
-      // A version that no document has: only the state is wanted.
-      stream.write({ kind: 'hello', vm, version: Number.MAX_SAFE_INTEGER });
+      stream.write({ kind: 'probe', vm });
     }).finally(() => {
       stream.cancel();
       client.close();
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -11,7 +11,7 @@
 type Stream = grpc.ServerDuplexStream<types.UpMessage, types.DownMessage>;
 
 /** Between two states sent to each entry VM. */
-const STATE_INTERVAL_MS = 400;
+const STATE_INTERVAL_MS = 250;
 /** A session that sent nothing for this long is closed. */
 const SILENCE_MS = 3000;
 /** A control VM without a leader tells the configuration that it has after this time. */
@@ -121,6 +121,12 @@
       case 'hello':
         this.greet(session, message.vm, message.version);
         break;
+      case 'probe':
+        this.sessions.delete(session);
+        this.refreshRole();
+        session.stream.write(this.state());
+        session.stream.end();
+        break;
       case 'plan':
         session.plans.add(message.plan.planId);
         void this.answer(session, message.plan.planId, planner.plan(message.plan));
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -58,6 +58,8 @@
 /** From an entry VM to the coordinator. */
 export type UpMessage =
   | { readonly kind: 'hello'; readonly vm: string; readonly version: number }
+  /** Only asks for the state. */
+  | { readonly kind: 'probe'; readonly vm: string }
   | { readonly kind: 'plan'; readonly plan: IPlanRequest }
   | { readonly kind: 'again'; readonly planId: string; readonly failed: string }
   | { readonly kind: 'cancel'; readonly planId: string }
--- a/src/gateway/StreamRun.ts
+++ b/src/gateway/StreamRun.ts
@@ -47,6 +47,9 @@
 
   private planId = '';
 
+  /** Whether the results of the present plan were given back, since an engine had begun to answer. */
+  private inputsUsed = false;
+
   /** Serves the request of `scope`. */
   constructor(
     private readonly scope: requestScope.RequestScope,
@@ -93,7 +96,8 @@
     endpoint: routing.IEndpoint,
     avoid: readonly string[],
   ): Promise<coordination.PlanOutcome> {
-    if (sent.kind === 'not-run' && !sent.inputsGone) {
+    const inputsGone = sent.kind === 'not-run' && sent.inputsGone;
+    if (!inputsGone && !this.inputsUsed) {
       return this.needs.planner.again(this.planId, endpoint.id);
     }
     const failed = sent.kind === 'not-run' ? undefined : endpoint.id;
@@ -105,6 +109,7 @@
     const { scope, needs } = this;
     const { arrival, route } = scope;
     this.plans += 1;
+    this.inputsUsed = false;
     this.planId = `${arrival.id}#${this.plans}`;
     const prompt = arrival.prompt ?? { parts: [], tokensIn: 0, tokensOut: 0 };
     return needs.planner.plan({
@@ -226,6 +231,7 @@
     }
     const end = await this.relay.relay(answer, () => {
       needs.planner.started(this.planId);
+      this.inputsUsed = true;
       this.log('first-event', {});
     });
     if (end === 'over') {
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -82,7 +82,7 @@
     const engines = [...this.engines.values()].filter(
       (engine) => !req.avoid.includes(engine.endpoint.id),
     );
-    const sound = engines.filter((engine) => engine.ejectedUntil <= now);
+    const sound = engines.filter((engine) => engine.ejectedUntil <= now && !engine.isStuck(now));
     const chosen = this.cheapest(sound.length > 0 ? sound : engines, req);
     if (chosen === undefined) {
       return undefined;
@@ -97,7 +97,7 @@
     if (run !== undefined) {
       if (!run.started) {
         run.started = true;
-        run.engine.started(run.tokens);
+        run.engine.started(run.tokens, this.clock.monotonic());
       }
     }
   }
@@ -106,7 +106,9 @@
   end(planId: string): void {
     const run = this.runs.get(planId);
     if (run !== undefined) {
-      this.started(planId);
+      if (!run.started) {
+        run.engine.leave(run.tokens, this.clock.monotonic());
+      }
       this.runs.delete(planId);
       run.engine.end();
     }
@@ -138,7 +140,7 @@
 
   private begin(engine: engineState.EngineState, req: IPlaceRequest): void {
     this.end(req.planId);
-    const tokens = engine.begin(req.prompt);
+    const tokens = engine.begin(req.prompt, this.clock.monotonic());
     this.runs.set(req.planId, { engine, tokens, started: false });
   }
 
--- a/src/placing/EngineState.ts
+++ b/src/placing/EngineState.ts
@@ -6,6 +6,8 @@
 /** A failed engine gets nothing for this long; doubles with each further failure. */
 const EJECT_MS = 700;
 const MAX_EJECT_MS = 5000;
+/** An engine that starts nothing for this long, though requests wait there, gets no more; the longest prompts are read in about one second. */
+const STUCK_MS = 1500;
 
 /** What the placing knows of one engine. */
 export class EngineState {
@@ -17,6 +19,11 @@
 
   private failures = 0;
 
+  /** When the first of the requests that have not started was placed; undefined without any. */
+  private quietSince: commonTypes.Millis | undefined;
+
+  private unstarted = 0;
+
   /** Knows nothing of the load of `endpoint` yet. */
   constructor(
     readonly endpoint: routing.IEndpoint,
@@ -38,8 +45,15 @@
     return this.ejected;
   }
 
+  /** Whether requests wait here and none has started for long. */
+  isStuck(now: commonTypes.Millis): boolean {
+    return this.quietSince !== undefined && now - this.quietSince > STUCK_MS;
+  }
+
   /** Places a request here; the result is what the engine has to read of its prompt. */
-  begin(prompt: types.IPrompt): number {
+  begin(prompt: types.IPrompt, now: commonTypes.Millis): number {
+    this.unstarted += 1;
+    this.quietSince ??= now;
     const tokens = Math.max(0, prompt.tokensIn - this.memory.knownTokens(prompt));
     this.memory.note(prompt);
     this.runningCount += 1;
@@ -48,11 +62,18 @@
   }
 
   /** A request's prompt of `tokens` was read. */
-  started(tokens: number): void {
-    this.tokensToRead -= tokens;
+  started(tokens: number, now: commonTypes.Millis): void {
+    this.leave(tokens, now);
     this.failures = 0;
   }
 
+  /** A request of `tokens` left before it had started. */
+  leave(tokens: number, now: commonTypes.Millis): void {
+    this.tokensToRead -= tokens;
+    this.unstarted -= 1;
+    this.quietSince = this.unstarted > 0 ? now : undefined;
+  }
+
   /** A request left. */
   end(): void {
     this.runningCount -= 1;
