--- a/src/control/group/GroupKeeper.ts
+++ b/src/control/group/GroupKeeper.ts
@@ -29,7 +29,9 @@
 /** A voter that was silent for this long is removed, as long as enough others answer. */
 const REMOVE_AFTER_MS = 12_000;
 /** Between two looks of the leader at its voters. */
-const REVIEW_INTERVAL_MS = 1000;
+const REVIEW_INTERVAL_MS = 500;
+/** A control VM that joins at a new address replaces a voter that falls silent within this time. */
+const SURPLUS_MS = 10_000;
 /** No voter is removed for its silence when fewer than this would be left. */
 const LEAST_VOTERS = 3;
 
@@ -57,6 +59,9 @@
 
   private working = false;
 
+  /** Until then the group has a member more than before a join. */
+  private surplusUntil: commonTypes.Millis = 0;
+
   /** Registers at `server` and runs until disposed; `onForeign` is called when the folder must be emptied. */
   constructor(
     server: grpc.Server,
@@ -187,6 +192,10 @@
       await log.changeMembership({ action: 'remove', id: lost });
     }
     await log.changeMembership({ action: 'promote', id });
+    if (isNew && lost === undefined) {
+      this.surplusUntil = this.needs.clock.monotonic() + SURPLUS_MS;
+    }
+    this.needs.logService.info('member-joined', { id, replaced: lost });
   }
 
   /** The voter that was silent for longest, at least for `silence`. */
@@ -207,9 +216,12 @@
     const { signal } = this.stop;
     while (!signal.aborted) {
       await clock.sleep(REVIEW_INTERVAL_MS, signal).catch(() => {});
-      const lost = log.status().role === 'leader' ? this.findLost(REMOVE_AFTER_MS) : undefined;
+      const isSurplus = clock.monotonic() < this.surplusUntil;
+      const silence = isSurplus ? REPLACE_AFTER_MS : REMOVE_AFTER_MS;
+      const lost = log.status().role === 'leader' ? this.findLost(silence) : undefined;
       const voters = log.status().members.filter((member) => member.voter);
       if (lost !== undefined && voters.length > LEAST_VOTERS && !this.working) {
+        this.surplusUntil = 0;
         logService.warn('member-removed', { id: lost, silence: log.silenceOf(lost) });
         await log
           .changeMembership({ action: 'remove', id: lost })
