Pass a body that ends with its connection on without a mark of its end

Its connection ended like a whole one's, and we put a Content-Length on what had come.

Change: an answer whose end is not marked goes to the caller without a mark too, and its connection ends.

--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -27,6 +27,7 @@
     status,
     headers: [],
     isGenuine: true,
+    isFramed: true,
     isNotRun: false,
     isMisplaced: false,
     load: undefined,
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -98,6 +98,11 @@
   readonly headers: RawHeaders;
   /** It bears the endpoint's signature, the request's id, and a body in no foreign encoding. */
   readonly isGenuine: boolean;
+  /**
+   * Whether the body's end is marked. Without a mark it ends with its connection, and an endpoint that
+   * crashes looks as if it had ended: the caller must get it without a mark, too.
+   */
+  readonly isFramed: boolean;
   /** The endpoint says that it did not run the request. */
   readonly isNotRun: boolean;
   /** Another endpoint is at the address. */
