Report why a control VM has no leader

Cause: after a start without a leader the control processes write nothing but operator-redirected, so that a group that was never founded looks like one without a quorum.

Change: GroupMonitor logs group-unavailable with a reason (no-group, not-a-voter, no-quorum) and counts it; gauges group_members and group_has_leader. No behaviour of the group changes.

--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -11,6 +11,7 @@
 import * as documentService from './document/DocumentService.js';
 import * as documentState from './document/DocumentState.js';
 import * as groupManager from './group/GroupManager.js';
+import * as groupMonitor from './group/GroupMonitor.js';
 import * as privateDisk from './log/PrivateDisk.js';
 import * as retryOnFullDisk from './log/RetryOnFullDisk.js';
 import * as grpcPeerTransport from './replication/GrpcPeerTransport.js';
@@ -112,6 +113,7 @@
     const isFounder = initialMembers.length > 0;
     const group = { log, clock, logService, address, seeds, isFounder };
     disposables.add(new groupManager.GroupManager(server, group, onRemoved));
+    disposables.add(new groupMonitor.GroupMonitor({ log, clock, logService, metrics }));
     disposables.add(
       new endpointPoller.EndpointPoller(dependencies.source, directory, {
         interval: ENDPOINT_POLL_INTERVAL_MS,
--- /dev/null
+++ b/src/control/group/GroupMonitor.ts
@@ -0,0 +1,94 @@
+import type * as commonServices from '../../common/services/Services.js';
+import type * as commonTypes from '../../common/Types.js';
+import type * as controlTypes from '../Types.js';
+
+const CHECK_INTERVAL_MS = 500;
+/** Longer than an election, so that an ordinary change of leader is not reported. */
+const REPORT_AFTER_MS = 1500;
+const REPORT_INTERVAL_MS = 5000;
+
+/** The part of a replica that the monitor reads. */
+export interface IMonitoredReplica {
+  /** Returns this replica's own view of the group. */
+  status(): controlTypes.IReplicaStatus;
+  /** True while this replica leads or is in contact with the leader. */
+  readonly hasLeader: boolean;
+}
+
+/** Dependencies of a group monitor. */
+export interface IGroupMonitorServices {
+  readonly log: IMonitoredReplica;
+  readonly clock: commonTypes.IClock;
+  readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
+}
+
+/** Why a control VM has no leader: it belongs to no group, is not a voter yet, or reaches no quorum. */
+type UnavailableReason = 'no-group' | 'not-a-voter' | 'no-quorum';
+
+/** Reports a control VM that has no leader, with the reason and the inputs of that reason. */
+export class GroupMonitor implements commonTypes.IDisposable {
+  private readonly stop = new AbortController();
+
+  private leaderSeenAt: commonTypes.Millis;
+
+  private reportedAt = -Infinity;
+
+  /** Checks the replica periodically until disposed. */
+  constructor(private readonly services: IGroupMonitorServices) {
+    this.leaderSeenAt = services.clock.monotonic();
+    void this.run();
+  }
+
+  /** @inheritdoc */
+  dispose(): void {
+    this.stop.abort(new Error('group monitor disposed'));
+  }
+
+  private async run(): Promise<void> {
+    const { clock } = this.services;
+    const { signal } = this.stop;
+    while (!signal.aborted) {
+      this.check();
+      await clock.sleep(CHECK_INTERVAL_MS, signal).catch(() => {});
+    }
+  }
+
+  private check(): void {
+    const { log, clock, logService, metrics } = this.services;
+    const status = log.status();
+    const now = clock.monotonic();
+    metrics.gauge('group_members', status.members.length);
+    metrics.gauge('group_has_leader', log.hasLeader ? 1 : 0);
+    if (log.hasLeader) {
+      if (this.reportedAt > this.leaderSeenAt) {
+        logService.info('group-available', { waited: now - this.leaderSeenAt, term: status.term });
+      }
+      this.leaderSeenAt = now;
+      return;
+    }
+    const waited = now - this.leaderSeenAt;
+    if (waited >= REPORT_AFTER_MS && now - this.reportedAt >= REPORT_INTERVAL_MS) {
+      const reason = unavailableReason(status);
+      this.reportedAt = now;
+      metrics.count('group_unavailable', { reason });
+      logService.warn('group-unavailable', {
+        reason,
+        waited,
+        role: status.role,
+        term: status.term,
+        applied: status.appliedIndex,
+        members: status.members.map(({ id }) => id).join(','),
+      });
+    }
+  }
+}
+
+function unavailableReason(status: controlTypes.IReplicaStatus): UnavailableReason {
+  if (status.members.length === 0) {
+    return 'no-group';
+  }
+  const self = status.members.find(({ id }) => id === status.id);
+  const isVoter = self?.voter === true && self.incarnation === status.incarnation;
+  return isVoter ? 'no-quorum' : 'not-a-voter';
+}
--- a/src/control/replication/Replica.ts
+++ b/src/control/replication/Replica.ts
@@ -144,6 +144,11 @@
     };
   }
 
+  /** True while this replica leads or has heard from the leader within the minimum election timeout. */
+  get hasLeader(): boolean {
+    return this.state.role === 'leader' || this.state.hasRecentLeader;
+  }
+
   /** Time since the last request that a peer answered was sent; undefined when this replica is not the leader. */
   timeSinceAnswer(id: string): commonTypes.Millis | undefined {
     return this.currentLeadership?.silenceOf(id);
