--- a/src/control/group/GroupMonitor.ts
+++ b/src/control/group/GroupMonitor.ts
@@ -62,12 +62,13 @@
     metrics.gauge('group_has_leader', log.hasLeader ? 1 : 0);
     if (log.hasLeader) {
       if (this.reportedAt > this.leaderSeenAt) {
-        logService.info('group-available', { waited: now - this.leaderSeenAt, term: status.term });
+        const waited = Math.round(now - this.leaderSeenAt);
+        logService.info('group-available', { waited, term: status.term });
       }
       this.leaderSeenAt = now;
       return;
     }
-    const waited = now - this.leaderSeenAt;
+    const waited = Math.round(now - this.leaderSeenAt);
     if (waited >= REPORT_AFTER_MS && now - this.reportedAt >= REPORT_INTERVAL_MS) {
       const reason = unavailableReason(status);
       this.reportedAt = now;
