Found the control group by a majority that recorded its first start

Cause: only the founding member with the lowest id could found the group, only while all others answered that they were blank, and whether a VM is a founding member came from the first-start setting, which holds for the first process only and was kept in memory. A founder that ended before the group existed came back as a VM that joins, and there was nobody to join. The class: a fact that is told once, and is needed after the process that was told it.

Change: the founding members are recorded in the identity file, which is durable before a replica answers. The group is founded by an election with durable votes: a majority of the replicas that hold the record, or else all founding members. The members are an ordinary entry 1, so that the entry of a winner that is lost before anyone holds it is replaced by a later one. A member that was missing is listed without an incarnation and joins. A voter that has heard from no leader for 3 s asks to join, since the group may have gone on without its entry; and a leader tells a VM to empty its folder only after a quorum has confirmed that leader (the test of this fails without).

Why it works: the decision no longer depends on one process or one start. Every majority of recorded replicas includes one that still holds what an earlier group committed, since a replica that loses its folder loses the record too.

Found on the way: an ordinary election whose pre-vote had begun could make the leader of the same term a candidate; Election checks the role now.

--- a/bench/log/LoopbackGroup.ts
+++ b/bench/log/LoopbackGroup.ts
@@ -8,7 +8,7 @@
 import * as grpcPeerTransport from '../../src/control/replication/GrpcPeerTransport.js';
 import * as replica from '../../src/control/replication/Replica.js';
 import * as registerStateMachine from '../../src/control/replication/testing/RegisterStateMachine.js';
-import type * as replicationTypes from '../../src/control/replication/Types.js';
+import type * as controlTypes from '../../src/control/Types.js';
 import * as countingDisk from './CountingDisk.js';
 
 const LEADER_POLL_MS = 10;
@@ -16,7 +16,7 @@
 interface IServed {
   readonly server: grpc.Server;
   readonly transport: grpcPeerTransport.GrpcPeerTransport;
-  readonly member: replicationTypes.IFoundingMember;
+  readonly member: controlTypes.IFoundingMember;
 }
 
 /** Replicas in this process, on the real disk, that talk over gRPC on loopback. */
--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -16,6 +16,7 @@
 import * as retryOnFullDisk from './log/RetryOnFullDisk.js';
 import * as grpcPeerTransport from './replication/GrpcPeerTransport.js';
 import * as replica from './replication/Replica.js';
+import type * as controlTypes from './Types.js';
 
 /** Poll interval of the endpoint list; a leaving endpoint must be detected well within its drain time. */
 const ENDPOINT_POLL_INTERVAL_MS = 900;
@@ -31,6 +32,11 @@
  */
 const HEARTBEAT_MS = 80;
 const ELECTION_TIMEOUT_MS = 420;
+/**
+ * A VM that is not at its first start takes part in founding a group only with this many others: fewer may have lost
+ * their disks together after the group was founded.
+ */
+const MIN_FOUNDERS_AFTER_FIRST_START = 3;
 const MAX_DOCUMENT_BYTES = 8 * MIB;
 /** Log size from which a snapshot replaces the log. */
 const SNAPSHOT_MIN_LOG_BYTES = 2 * MIB;
@@ -44,8 +50,8 @@
   readonly dataDir: string;
   /** Size in bytes of the file system that holds the data folder. */
   readonly diskBytes: number;
-  /** `ip:port` of the control VMs that form the group initially, including this one; empty for a VM that joins later. */
-  readonly initialMembers: readonly string[];
+  /** True at the first start of the whole system, when no group can exist yet. */
+  readonly isFirstStart: boolean;
   /** Returns the `ip:port` of the control VMs in the current settings. */
   readonly seeds: () => readonly string[];
 }
@@ -109,9 +115,8 @@
     followDocument(state, coordinator, dependencies);
     const feedDependencies = { log, document: state, directory, coordinator, clock, logService };
     const feed = disposables.add(new feedServer.FeedServer(server, feedDependencies));
-    const { address, seeds, initialMembers } = options;
-    const isFounder = initialMembers.length > 0;
-    const group = { log, clock, logService, address, seeds, isFounder };
+    const { address, seeds } = options;
+    const group = { log, clock, logService, address, seeds };
     disposables.add(new groupManager.GroupManager(server, group, onRemoved));
     disposables.add(new groupMonitor.GroupMonitor({ log, clock, logService, metrics }));
     disposables.add(
@@ -141,7 +146,8 @@
   transport: grpcPeerTransport.GrpcPeerTransport,
 ): Promise<replica.Replica> {
   const { clock, random, logService } = dependencies;
-  const members = options.initialMembers.map((address) => ({ id: address, address }));
+  const { id, dataDir, isFirstStart } = options;
+  const members = foundingMembers(options);
   const tuning = {
     maxCommandBytes: MAX_DOCUMENT_BYTES,
     maxPendingBytes: 4 * MAX_DOCUMENT_BYTES,
@@ -153,11 +159,22 @@
   const folder = new privateDisk.PrivateDisk(options.diskBytes);
   const disk = new retryOnFullDisk.RetryOnFullDisk(folder, clock, logService);
   return replica.Replica.open(
-    { id: options.id, dataDir: options.dataDir, members, tuning },
+    { id, dataDir, members, isFirstStart, tuning },
     { clock, random, logService, stateMachine, transport, disk },
   );
 }
 
+/** The seeds, unless this VM is none of them or they are too few to found a group after the first start. */
+function foundingMembers(
+  options: IDocumentProcessOptions,
+): readonly controlTypes.IFoundingMember[] {
+  const seeds = options.seeds();
+  const isEnough = options.isFirstStart || seeds.length >= MIN_FOUNDERS_AFTER_FIRST_START;
+  return seeds.includes(options.address) && isEnough
+    ? seeds.map((address) => ({ id: address, address }))
+    : [];
+}
+
 function followDocument(
   state: documentState.DocumentState,
   coordinator: coordinators.Coordinator,
--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -38,6 +38,13 @@
   readonly incarnation: string;
 }
 
+/** A replica that takes part in founding the group. */
+export interface IFoundingMember {
+  readonly id: string;
+  /** `ip:port` where the replica listens for its peers. */
+  readonly address: string;
+}
+
 /** Interface of the replicated log to the services built on it. */
 export interface IReplicatedLog extends commonTypes.IDisposable {
   /**
--- a/src/control/group/GroupManager.ts
+++ b/src/control/group/GroupManager.ts
@@ -31,6 +31,8 @@
 /** Interval between the join requests of a control VM that is not a voter yet. */
 const JOIN_INTERVAL_MS = 400;
 const JOIN_TIMEOUT_MS = 1000;
+/** A voter that has heard from no leader for this long sends join requests too; several elections fit in it. */
+const JOIN_AFTER_SILENCE_MS = 3000;
 /** A member that has been silent for this long may be replaced by a control VM that joins under a new id. */
 const REPLACE_AFTER_SILENCE_MS = 2000;
 /** A member that has been silent for this long is removed, provided more than MIN_VOTERS voters exist. */
@@ -50,22 +52,26 @@
 
 const encode = (value: IJoinRequest | IJoinAnswer): Buffer => Buffer.from(JSON.stringify(value));
 
+/** The replica that a group manager keeps in its group. */
+export interface IManagedReplica extends controlTypes.IReplicatedLog {
+  /** True while the replica leads or is in contact with the leader. */
+  readonly hasLeader: boolean;
+}
+
 /** Services and settings of a group manager. */
 export interface IGroupManagerServices {
-  readonly log: controlTypes.IReplicatedLog;
+  readonly log: IManagedReplica;
   readonly clock: commonTypes.IClock;
   readonly logService: commonServices.ILogService;
   /** `ip:port` where this VM listens for its peers. */
   readonly address: string;
   /** `ip:port` of the control VMs named in the settings. */
   readonly seeds: () => readonly string[];
-  /** True when this VM founds the group together with the seeds instead of joining an existing one. */
-  readonly isFounder: boolean;
 }
 
 /**
- * Repairs the control group without an operator. A control VM that is not a voter sends join requests, except
- * a founder that knows no members. The leader admits the VM if its data folder is empty or its incarnation is already
+ * Repairs the control group without an operator. A control VM that is not a voter, or that has not heard from a leader
+ * for a while, sends join requests. The leader admits the VM if its data folder is empty or its incarnation is already
  * a member: it adds the VM as a learner and promotes it, replacing its earlier incarnation or a silent member.
  */
 export class GroupManager implements commonTypes.IDisposable {
@@ -101,7 +107,12 @@
         join: (
           call: grpc.ServerUnaryCall<IJoinRequest, IJoinAnswer>,
           callback: grpc.sendUnaryData<IJoinAnswer>,
-        ) => callback(null, this.handleJoinRequest(call.request)),
+        ) => {
+          this.handleJoinRequest(call.request).then(
+            (answer) => callback(null, answer),
+            (err: Error) => callback({ code: grpc.status.UNAVAILABLE, details: err.message }),
+          );
+        },
       },
     );
     void this.joinGroup();
@@ -113,17 +124,24 @@
     this.stop.abort(new Error('group manager disposed'));
   }
 
-  /** Sends join requests whenever this incarnation is not a voter, except on a founder that knows no members. */
+  /**
+   * Sends join requests while this incarnation is not a voter, or has no leader: the group may have gone on without an
+   * entry that only this replica holds, and may list it under no incarnation or an earlier one.
+   */
   private async joinGroup(): Promise<void> {
-    const { clock, log, logService, address, isFounder } = this.services;
+    const { clock, log, logService, address } = this.services;
     const { signal } = this.stop;
     let attempt = 0;
     let leaderAddress: string | undefined;
+    let leaderSeenAt = clock.monotonic();
     while (!signal.aborted) {
       const { id, incarnation, members, appliedIndex } = log.status();
       const self = members.find((member) => member.id === id);
       const isVoter = self?.voter === true && self.incarnation === incarnation;
-      if (!isVoter && !(isFounder && members.length === 0)) {
+      if (log.hasLeader) {
+        leaderSeenAt = clock.monotonic();
+      }
+      if (!isVoter || clock.monotonic() - leaderSeenAt > JOIN_AFTER_SILENCE_MS) {
         const knownAddresses = [
           ...new Set([...members.map((member) => member.address), ...this.services.seeds()]),
         ];
@@ -169,8 +187,12 @@
     });
   }
 
-  private handleJoinRequest(req: IJoinRequest): IJoinAnswer {
+  private async handleJoinRequest(req: IJoinRequest): Promise<IJoinAnswer> {
     const { log, logService } = this.services;
+    if (!req.blank && log.status().role === 'leader') {
+      // A leader that a partition has deposed may know of fewer members, and its answer could empty a member's folder.
+      await log.readBarrier();
+    }
     const { role, leaderId, members } = log.status();
     if (role !== 'leader') {
       const leader = members.find((member) => member.id === leaderId)?.address;
--- a/src/control/log/Codec.ts
+++ b/src/control/log/Codec.ts
@@ -55,13 +55,20 @@
 
 /** Encodes the payload of the identity file. */
 export function encodeIdentity(identity: types.IIdentity): Uint8Array {
-  return proto.Identity.encode(identity).finish();
+  return proto.Identity.encode({ ...identity, founders: [...identity.founders] }).finish();
 }
 
 /** Decodes the payload of the identity file. */
 export function decodeIdentity(payload: Uint8Array): types.IIdentity {
-  const { id, incarnation } = proto.Identity.decode(payload);
-  return { id: id ?? '', incarnation: incarnation ?? '' };
+  const { id, incarnation, founders } = proto.Identity.decode(payload);
+  return {
+    id: id ?? '',
+    incarnation: incarnation ?? '',
+    founders: (founders ?? []).map(fromWireMember).map((each) => ({
+      id: each.id,
+      address: each.address,
+    })),
+  };
 }
 
 /** Encodes the payload of the vote file; no vote is stored as an empty id. */
--- a/src/control/log/DataFolder.ts
+++ b/src/control/log/DataFolder.ts
@@ -1,6 +1,7 @@
 /** Opens a data folder and reads its files: identity, vote, snapshot and segments. */
 import * as nodePath from 'node:path';
 import type * as commonTypes from '../../common/Types.js';
+import type * as controlTypes from '../Types.js';
 import * as atomicFile from './AtomicFile.js';
 import * as codec from './Codec.js';
 import * as corruptLog from './CorruptLogError.js';
@@ -35,7 +36,7 @@
 }
 
 /**
- * Locks a folder, removes leftover files, and reads or creates its identity.
+ * Locks a folder, removes leftover files, and reads its identity or creates one that records `founders`.
  *
  * @throws FolderLockedError; CorruptLogError when the folder belongs to another replica or its identity is missing.
  */
@@ -44,12 +45,13 @@
   path: string,
   id: string,
   random: commonTypes.IRandom,
+  founders: readonly controlTypes.IFoundingMember[],
 ): Promise<IOpenFolder> {
   await disk.makeFolder(path);
   const lock = await disk.lock(path);
   try {
     await removeLeftoverFiles(disk, path);
-    const identity = await openIdentity(disk, path, id, random);
+    const identity = await openIdentity(disk, path, id, random, founders);
     return { path, identity, lock };
   } catch (err) {
     lock.dispose();
@@ -72,6 +74,7 @@
   path: string,
   id: string,
   random: commonTypes.IRandom,
+  founders: readonly controlTypes.IFoundingMember[],
 ): Promise<types.IIdentity> {
   const file = nodePath.join(path, folderReader.IDENTITY_FILE);
   const names = await disk.list(path);
@@ -85,7 +88,7 @@
   if (names.some(isLogFile)) {
     throw corruptError(file, 'the identity file is missing but log files exist');
   }
-  const identity = { id, incarnation: createIncarnation(random) };
+  const identity = { id, incarnation: createIncarnation(random), founders };
   await atomicFile.writeAtomically(disk, file, [codec.encodeIdentity(identity)]);
   return identity;
 }
--- a/src/control/log/LogStore.ts
+++ b/src/control/log/LogStore.ts
@@ -2,6 +2,7 @@
 import type * as commonTypes from '../../common/Types.js';
 import * as emitter from '../../common/Emitter.js';
 import type * as services from '../../common/services/Services.js';
+import type * as controlTypes from '../Types.js';
 import * as atomicFile from './AtomicFile.js';
 import * as codec from './Codec.js';
 import * as dataFolder from './DataFolder.js';
@@ -60,7 +61,7 @@
   }
 
   /**
-   * Opens or creates the data folder and locks it until `dispose`.
+   * Opens or creates the data folder and locks it until `dispose`. A new folder records `founders`.
    *
    * @throws FolderLockedError, CorruptLogError, or StorageError when the disk fails.
    */
@@ -70,8 +71,9 @@
     id: string,
     random: commonTypes.IRandom,
     logService: services.ILogService,
+    founders: readonly controlTypes.IFoundingMember[] = [],
   ): Promise<LogStore> {
-    const folder = await dataFolder.openFolder(disk, path, id, random);
+    const folder = await dataFolder.openFolder(disk, path, id, random, founders);
     try {
       const content = await dataFolder.readContent(disk, path);
       content.tornTails.forEach((finding) => {
--- a/src/control/log/Types.ts
+++ b/src/control/log/Types.ts
@@ -40,6 +40,8 @@
   readonly id: string;
   /** Random id, created with the folder: a replica that lost its folder returns with a new incarnation. */
   readonly incarnation: string;
+  /** Founding members, recorded if the folder was created before any group could exist; empty otherwise. */
+  readonly founders: readonly controlTypes.IFoundingMember[];
 }
 
 /** An open file. */
--- a/src/control/replication/Applier.ts
+++ b/src/control/replication/Applier.ts
@@ -52,7 +52,7 @@
     this.startSnapshotIfDue();
   }
 
-  /** Replaces the log and the state with a snapshot: the leader's, or the founding one. */
+  /** Replaces the log and the state with a snapshot of the leader. */
   install(snapshot: logTypes.ISnapshot): Promise<void> {
     return this.snapshotQueue.run(async () => {
       await this.state.store.installSnapshot(snapshot);
@@ -63,11 +63,6 @@
     });
   }
 
-  /** Returns the encoded state at the last applied index. */
-  encodeState(): Uint8Array {
-    return this.stateMachine.snapshot();
-  }
-
   /** @inheritdoc */
   dispose(): void {
     this.appliedEmitter.dispose();
--- a/src/control/replication/Election.ts
+++ b/src/control/replication/Election.ts
@@ -1,5 +1,5 @@
 import type * as replicaState from './ReplicaState.js';
-import type * as types from './Types.js';
+import * as voteCollector from './VoteCollector.js';
 
 /** Callbacks from an election to its replica. */
 export interface IElectionListener {
@@ -74,60 +74,24 @@
    * began.
    */
   private async becomeCandidate(term: number, contactBefore: number): Promise<boolean> {
-    const { store, self, lastLeaderContact } = this.state;
-    if (
-      this.state.term !== term ||
-      lastLeaderContact !== contactBefore ||
-      this.stop.signal.aborted
-    ) {
+    const { state } = this;
+    // Founder may have made this replica the leader since the pre-vote began.
+    const hasLeader = state.role === 'leader' || state.lastLeaderContact !== contactBefore;
+    if (hasLeader || state.term !== term || this.stop.signal.aborted) {
       return false;
     }
-    await store.saveVote({ term: term + 1, votedFor: self.id });
-    this.state.role = 'candidate';
-    this.state.leaderId = undefined;
-    this.state.logService.info('election-started', { term: term + 1 });
+    await state.becomeCandidate(term + 1);
     return true;
   }
 
-  /**
-   * Requests votes from all voters in parallel; resolves with true as soon as a quorum, this replica included,
-   * grants.
-   */
-  private async collectVotes(pre: boolean, term: number): Promise<boolean> {
-    const { store, members, self, peers } = this.state;
-    const { lastIndex, lastTerm } = store;
-    const body: types.IVoteRequest = { kind: 'vote', pre, lastIndex, lastTerm };
-    const granted = new Set([self.id]);
-    if (members.isQuorum(granted)) {
-      return true;
-    }
-    return new Promise((resolve) => {
-      const voters = peers.filter((peer) => peer.voter);
-      const requests = voters.map(async (peer) => {
-        if (await this.requestVote(peer, body, term)) {
-          granted.add(peer.id);
-        }
-        if (members.isQuorum(granted)) {
-          resolve(true);
-        }
-      });
-      void Promise.all(requests).then(() => resolve(false));
-    });
-  }
-
-  private async requestVote(
-    peer: types.Peer,
-    body: types.IVoteRequest,
-    term: number,
-  ): Promise<boolean> {
-    try {
-      const res = await this.state.call(peer, body, term);
-      if (res.term > this.state.term) {
-        await this.listener.onLaterTerm(res.term);
-      }
-      return res.body?.kind === 'vote' && res.body.granted;
-    } catch {
-      return false;
-    }
+  private collectVotes(pre: boolean, term: number): Promise<boolean> {
+    const { members, peers } = this.state;
+    const electorate = {
+      peers: peers.filter((peer) => peer.voter),
+      isQuorum: (ids: ReadonlySet<string>) => members.isQuorum(ids),
+    };
+    return voteCollector.collectVotes(this.state, electorate, { pre, term }, (later) =>
+      this.listener.onLaterTerm(later),
+    );
   }
 }
--- a/src/control/replication/GrpcPeerTransport.test.ts
+++ b/src/control/replication/GrpcPeerTransport.test.ts
@@ -12,7 +12,7 @@
 
 const EXCHANGES: readonly (readonly [types.PeerRequestBody, types.PeerResponseBody | undefined])[] =
   [
-    [{ kind: 'hello' }, { kind: 'hello', blank: true }],
+    [{ kind: 'hello' }, { kind: 'hello', blank: true, founders: ['c1', 'c2'] }],
     [
       { kind: 'vote', pre: true, lastIndex: 5, lastTerm: 4 },
       { kind: 'vote', granted: true },
--- a/src/control/replication/Replica.ts
+++ b/src/control/replication/Replica.ts
@@ -59,7 +59,8 @@
 
   private constructor(
     private readonly state: replicaState.ReplicaState,
-    private readonly foundingMembers: readonly types.IFoundingMember[],
+    private readonly foundingMembers: readonly controlTypes.IFoundingMember[],
+    private readonly isLaterStart: boolean,
     stateMachine: controlTypes.IStateMachine,
   ) {
     this.disposables.add(state.store);
@@ -89,6 +90,7 @@
       options.id,
       random,
       logService,
+      options.isFirstStart ? options.members : [],
     );
     const state = new replicaState.ReplicaState(
       store,
@@ -98,7 +100,14 @@
       transport,
       tuningWithDefaults,
     );
-    const replica = new Replica(state, options.members, replicaServices.stateMachine);
+    const { founders } = store.identity;
+    const foundingMembers = founders.length > 0 ? founders : options.members;
+    const replica = new Replica(
+      state,
+      foundingMembers,
+      options.isFirstStart === false,
+      replicaServices.stateMachine,
+    );
     replica.start();
     return replica;
   }
@@ -171,13 +180,16 @@
       adoptTerm: (term, votedFor) => this.adoptTerm(term, votedFor),
     });
     this.disposables.add(this.state.transport.serve((req) => this.serve(handler, req)));
-    const electionTask = new election.Election(this.state, {
+    const listener: election.IElectionListener = {
       onElected: (term) => this.startLeadership(term),
       onLaterTerm: (term) => this.adoptLaterTerm(term),
       onFailed: (err) => this.fail(err),
-    });
-    this.disposables.add(electionTask);
-    void this.foundGroup().catch((err: Error) => this.fail(err));
+    };
+    const electionTask = this.disposables.add(new election.Election(this.state, listener));
+    const founderTask = this.disposables.add(
+      new founder.Founder(this.state, this.foundingMembers, this.isLaterStart, listener),
+    );
+    void founderTask.run();
     void electionTask.run();
   }
 
@@ -196,23 +208,6 @@
     }
   }
 
-  private async foundGroup(): Promise<void> {
-    const { signal } = this.stop;
-    const members = await founder.waitForFoundingMembers(this.state, this.foundingMembers, signal);
-    if (members === undefined) {
-      return;
-    }
-    await this.state.serialQueue.run(async () => {
-      if (!this.state.isBlank || signal.aborted) {
-        return;
-      }
-      const meta = founder.foundingSnapshotMeta(members);
-      await this.adoptTerm(Math.max(meta.term, this.state.term));
-      await this.entryApplier.install({ meta, data: this.entryApplier.encodeState() });
-      this.state.logService.info('group-founded', { members: members.length });
-    });
-  }
-
   private requireLeadership(): leadership.Leadership {
     if (this.currentLeadership === undefined) {
       const { leaderId, members } = this.state;
--- a/src/control/replication/ReplicaState.ts
+++ b/src/control/replication/ReplicaState.ts
@@ -24,6 +24,9 @@
   /** Monotonic time from which the election timeout counts. */
   electionTimerStart: commonTypes.Millis;
 
+  /** Monotonic time of the last request to an earlier incarnation of this replica; undefined before the first. */
+  otherIncarnationAddressedAt: commonTypes.Millis | undefined;
+
   /** Members of the group according to the log. */
   readonly members: membership.Membership;
 
@@ -79,6 +82,14 @@
     this.electionTimerStart = this.lastLeaderContact;
   }
 
+  /** Makes this replica a candidate in `term`, with its own vote durable; must run in `serialQueue`. */
+  async becomeCandidate(term: number): Promise<void> {
+    await this.store.saveVote({ term, votedFor: this.self.id });
+    this.role = 'candidate';
+    this.leaderId = undefined;
+    this.logService.info('election-started', { term });
+  }
+
   /** All members except this replica. */
   get peers(): readonly types.Peer[] {
     return this.members.current.filter((member) => member.id !== this.self.id);
--- a/src/control/replication/RequestHandler.ts
+++ b/src/control/replication/RequestHandler.ts
@@ -33,11 +33,13 @@
   /** Returns the response to a request; rejects when the disk fails or an invariant of the log is violated. */
   async handle(req: types.IPeerRequest): Promise<types.IPeerResponse> {
     if (!this.matchesIncarnations(req)) {
+      this.recordOtherIncarnation(req);
       return this.respond(undefined);
     }
     const { body } = req;
     if (body.kind === 'hello') {
-      return this.respond({ kind: 'hello', blank: this.state.isBlank });
+      const founders = this.state.self.founders.map(({ id }) => id);
+      return this.respond({ kind: 'hello', blank: this.state.isBlank, founders });
     }
     return this.state.serialQueue.run(async () => {
       const responseBody = await pattern
@@ -68,6 +70,14 @@
     return isKnownSender && req.toIncarnation === incarnation;
   }
 
+  /** Only a group of which an earlier incarnation of this replica was a member addresses that incarnation. */
+  private recordOtherIncarnation(req: types.IPeerRequest): void {
+    const { self, clock } = this.state;
+    if (req.to === self.id && req.toIncarnation !== self.incarnation) {
+      this.state.otherIncarnationAddressedAt = clock.monotonic();
+    }
+  }
+
   private respond(body: types.PeerResponseBody | undefined): types.IPeerResponse {
     return { incarnation: this.state.self.incarnation, term: this.state.term, body };
   }
--- a/src/control/replication/Types.ts
+++ b/src/control/replication/Types.ts
@@ -15,6 +15,8 @@
   readonly kind: 'hello';
   /** True when the data folder holds neither an entry nor a snapshot. */
   readonly blank: boolean;
+  /** Ids of the founding members that the data folder recorded at the first start; empty if there was none. */
+  readonly founders: readonly string[];
 }
 
 /** Requests a vote in the term of the envelope; with `pre`, only whether the vote would be granted (pre-vote). */
@@ -112,13 +114,6 @@
   serve(handler: PeerHandler): commonTypes.IDisposable;
 }
 
-/** A replica that takes part in founding the group. */
-export interface IFoundingMember {
-  readonly id: string;
-  /** `ip:port` where the replica listens for its peers. */
-  readonly address: string;
-}
-
 /** Options of a replica. */
 export interface IReplicaOptions {
   readonly id: string;
@@ -127,7 +122,13 @@
   /**
    * All founding members, this replica included; empty for a replica that joins an existing group as a learner.
    */
-  readonly members: readonly IFoundingMember[];
+  readonly members: readonly controlTypes.IFoundingMember[];
+  /**
+   * True when no group can exist yet. A new data folder then records `members`, which stay in force at later starts,
+   * and a majority of such replicas may found the group. False when a group may exist, undefined when the settings do
+   * not tell: all founding members must then be blank.
+   */
+  readonly isFirstStart?: boolean;
   readonly tuning?: Partial<ITuning>;
 }
 
--- a/src/control/replication/WireCodec.ts
+++ b/src/control/replication/WireCodec.ts
@@ -99,7 +99,9 @@
   const wire = pattern
     .match(body)
     .with(undefined, () => ({ refused: true }))
-    .with({ kind: 'hello' }, ({ blank }) => ({ hello: { blank } }))
+    .with({ kind: 'hello' }, ({ blank, founders }) => ({
+      hello: { blank, founders: [...founders] },
+    }))
     .with({ kind: 'vote' }, ({ granted }) => ({ vote: { granted } }))
     .with({ kind: 'append' }, ({ success, index }) => ({ append: { success, index } }))
     .with({ kind: 'snapshot' }, ({ offset, installed }) => ({ snapshot: { offset, installed } }))
@@ -122,7 +124,11 @@
   const { hello, vote, append, snapshot } = wire;
   return pattern
     .match(wire.body)
-    .with('hello', () => ({ kind: 'hello' as const, blank: hello?.blank ?? false }))
+    .with('hello', () => ({
+      kind: 'hello' as const,
+      blank: hello?.blank ?? false,
+      founders: hello?.founders ?? [],
+    }))
     .with('vote', () => ({ kind: 'vote' as const, granted: vote?.granted ?? false }))
     .with('append', () => ({
       kind: 'append' as const,
--- a/src/control/replication/testing/SimulatedGroup.ts
+++ b/src/control/replication/testing/SimulatedGroup.ts
@@ -81,8 +81,15 @@
     return this.waitForLeader();
   }
 
-  /** Starts a replica on its existing disk, or on a new one if it has none. */
-  async start(id: string, founding = this.foundingIds): Promise<ISimulatedReplica> {
+  /**
+   * Starts a replica on its existing disk, or on a new one if it has none. `isFirstStart` tells it whether a group may
+   * exist already.
+   */
+  async start(
+    id: string,
+    founding = this.foundingIds,
+    isFirstStart?: boolean,
+  ): Promise<ISimulatedReplica> {
     const clock = new freezableClock.FreezableClock(this.clock);
     const disk = this.disks.get(id) ?? this.createDisk();
     disk.clock = clock;
@@ -91,8 +98,9 @@
       this.checkApplied(id, index, text),
     );
     const members = founding.map((each) => ({ id: each, address: each }));
+    const firstStart = isFirstStart === undefined ? {} : { isFirstStart };
     const opening = replica.Replica.open(
-      { id, dataDir: DATA_DIR, members, tuning: this.tuning },
+      { id, dataDir: DATA_DIR, members, ...firstStart, tuning: this.tuning },
       {
         clock,
         random: this.random,
