Discard the folder of a removed member at the next start

What callers would see: a control VM that was removed while away deletes its files one by one and exits. If the process ends between two of them, the folder that is left (log files without an identity, or entries after a gap) does not open, and the VM ends with code 1 at every start.

Cause: the decision to empty the folder was held in memory only while it was being carried out, the same class as the group that is never founded.

--- a/src/control/log/DataFolder.ts
+++ b/src/control/log/DataFolder.ts
@@ -36,7 +36,7 @@
 }
 
 /**
- * Locks a folder, removes leftover files, and reads its identity or creates one that records `founders`.
+ * Locks a folder, empties it if it is marked for that, removes leftover files, and reads its identity or creates one that records `founders`.
  *
  * @throws FolderLockedError; CorruptLogError when the folder belongs to another replica or its identity is missing.
  */
@@ -50,6 +50,7 @@
   await disk.makeFolder(path);
   const lock = await disk.lock(path);
   try {
+    await completeDiscard(disk, path);
     await removeLeftoverFiles(disk, path);
     const identity = await openIdentity(disk, path, id, random, founders);
     return { path, identity, lock };
@@ -59,6 +60,34 @@
   }
 }
 
+/**
+ * Marks the content of a folder for removal, which the next `openFolder` carries out. Removing the files at once could
+ * leave a part of them behind if the process ended meanwhile, and such a folder does not open.
+ */
+export async function markForDiscard(disk: types.IDisk, path: string): Promise<void> {
+  const file = await disk.open(nodePath.join(path, folderReader.DISCARD_FILE));
+  try {
+    await file.sync();
+  } finally {
+    await file.close();
+  }
+  await disk.syncFolder(path);
+}
+
+/** Empties a folder that is marked for it; the mark is removed last. */
+async function completeDiscard(disk: types.IDisk, path: string): Promise<void> {
+  const names = await disk.list(path);
+  if (!names.includes(folderReader.DISCARD_FILE)) {
+    return;
+  }
+  for (const name of names.filter((each) => each !== folderReader.DISCARD_FILE)) {
+    await disk.remove(nodePath.join(path, name));
+  }
+  await disk.syncFolder(path);
+  await disk.remove(nodePath.join(path, folderReader.DISCARD_FILE));
+  await disk.syncFolder(path);
+}
+
 /** Removes temporary files that were never renamed into place, and snapshots replaced by a newer one. */
 async function removeLeftoverFiles(disk: types.IDisk, path: string): Promise<void> {
   const names = await disk.list(path);
--- a/src/control/log/FolderReader.ts
+++ b/src/control/log/FolderReader.ts
@@ -9,6 +9,8 @@
 export const IDENTITY_FILE = 'identity';
 /** Name of the file that holds the term and the vote. */
 export const VOTE_FILE = 'vote';
+/** Name of the file that marks the content of the folder for removal at the next start. */
+export const DISCARD_FILE = 'discard';
 /** Suffix of a file that is written before it is renamed to its final name. */
 export const TEMPORARY_SUFFIX = '.tmp';
 const SEGMENT_PATTERN = /^log-(\d{16})\.seg$/;
--- a/src/control/log/LogStore.test.ts
+++ b/src/control/log/LogStore.test.ts
@@ -2,6 +2,7 @@
 import * as seededRandom from '../../common/SeededRandom.js';
 import * as recordingLog from '../../common/testing/RecordingLogService.js';
 import * as corruptLog from './CorruptLogError.js';
+import * as dataFolder from './DataFolder.js';
 import * as logStore from './LogStore.js';
 import * as memoryDisk from './testing/MemoryDisk.js';
 import type * as types from './Types.js';
@@ -29,6 +30,47 @@
   return disk;
 }
 
+/** Fails every change after the first `steps`, as if the process had ended there. */
+class StoppingDisk extends memoryDisk.MemoryDisk {
+  constructor(
+    private readonly disk: memoryDisk.MemoryDisk,
+    private steps: number,
+  ) {
+    super();
+  }
+
+  override list(path: string): Promise<readonly string[]> {
+    return this.disk.list(path);
+  }
+
+  override async open(path: string): Promise<types.IFile> {
+    this.countStep();
+    return this.disk.open(path);
+  }
+
+  override async remove(path: string): Promise<void> {
+    this.countStep();
+    return this.disk.remove(path);
+  }
+
+  override async rename(from: string, to: string): Promise<void> {
+    this.countStep();
+    return this.disk.rename(from, to);
+  }
+
+  override async syncFolder(): Promise<void> {
+    this.countStep();
+    return this.disk.syncFolder();
+  }
+
+  private countStep(): void {
+    this.steps -= 1;
+    if (this.steps < 0) {
+      throw new Error('stopped');
+    }
+  }
+}
+
 function texts(store: logStore.LogStore): string[] {
   return store.entriesFrom(1, Infinity).map((each) => Buffer.from(each.data).toString());
 }
@@ -46,6 +88,18 @@
     expect(second.identity).toEqual(first.identity);
   });
 
+  it('opens a folder whose removal was interrupted at any file as a new one', async () => {
+    for (let steps = 0; steps < 12; steps++) {
+      for (const mode of ['kill', 'lose', 'keep'] as const) {
+        const disk = await diskWithEntries(3);
+        await dataFolder.markForDiscard(disk, DIR);
+        await open(new StoppingDisk(disk, steps)).catch(() => {});
+        const store = await open(disk.crash(mode));
+        expect([store.lastIndex, store.vote.term]).toEqual([0, 0]);
+      }
+    }
+  });
+
   it('shares one sync between appends that arrive during another sync', async () => {
     const disk = new memoryDisk.MemoryDisk();
     const store = await open(disk);
