Use a slow stage endpoint while no faster one takes calls

Cause: an endpoint whose average slowdown passes 2.2 is bypassed until 2.5 s after its last call, whether or not another endpoint can take the items. One call of five times its declared time is enough, which a busy machine makes of a call of 20 ms.

Change: bypassed endpoints are used while every other one backs off.

Ruled out by reading: a lost dispatch timer (dispatch schedules itself again while the queue is not empty).

--- a/src/batching/StageReplica.ts
+++ b/src/batching/StageReplica.ts
@@ -65,6 +65,11 @@
     return this.smoothedSlowdown > SLOW_RATIO && now - this.lastCallStart < SLOW_PROBE_INTERVAL_MS;
   }
 
+  /** Whether a backoff after a failed call is in effect. */
+  isBackingOff(now: commonTypes.Millis): boolean {
+    return this.consecutiveFailures > 0 && now < this.blockedUntil;
+  }
+
   /** Time until the backoff or pause ends, in milliseconds; 0 when none is in effect. */
   remainingBlock(now: commonTypes.Millis): commonTypes.Millis {
     return Math.max(0, this.blockedUntil - now);
--- a/src/batching/StageScheduler.ts
+++ b/src/batching/StageScheduler.ts
@@ -230,16 +230,14 @@
   /** Starts one call; false when no endpoint can take items now. */
   private startNextCall(now: commonTypes.Millis): boolean {
     const all = [...this.replicas.values()];
-    const available = all.filter(
-      (replica) => replica.canStartCall(now) && !replica.isBypassed(now),
-    );
+    const usable = this.usableReplicas(now);
+    const available = usable.filter((replica) => replica.canStartCall(now));
     const ranked = this.rankReplicas(available, this.mostUrgentGroup(now)?.group.preferredZone);
     const maxItems = this.maxItemsPerCall(ranked.length);
     const totalFree = all.reduce((sum, replica) => sum + replica.freeBytes, 0);
     const totalUsable = all.reduce((sum, replica) => sum + replica.usableBytes, 0);
-    const notBypassed = all.filter((replica) => !replica.isBypassed(now));
     const endpointsByZone = new Map<string, number>();
-    notBypassed.forEach(({ endpoint: { availabilityZone: zone } }) =>
+    usable.forEach(({ endpoint: { availabilityZone: zone } }) =>
       endpointsByZone.set(zone, (endpointsByZone.get(zone) ?? 0) + 1),
     );
     const isLightlyLoaded = this.queueDelay(Number.POSITIVE_INFINITY) < LIGHT_LOAD_DELAY_MS;
@@ -261,6 +259,13 @@
     return false;
   }
 
+  /** The endpoints that may be called: those that are bypassed as slow only if every other one is failing. */
+  private usableReplicas(now: commonTypes.Millis): readonly stageReplica.StageReplica[] {
+    const all = [...this.replicas.values()];
+    const preferred = all.filter((replica) => !replica.isBypassed(now));
+    return preferred.some((replica) => !replica.isBackingOff(now)) ? preferred : all;
+  }
+
   private mostUrgentGroup(now: commonTypes.Millis): queuedGroup.QueuedGroup | undefined {
     let lowestKey = Number.POSITIVE_INFINITY;
     return this.queue.reduce<queuedGroup.QueuedGroup | undefined>((mostUrgent, queued) => {
