Let a founding election finish before the next candidate stands

What callers could see: with disks so slow that a vote takes as long as the timeout of a call, the founding could go on without a winner, since every replica whose wait was over stood again in each round.

Cause: the wait for replicas with a lower id counted from the first time at which a founding was possible, not from the last attempt.

Evidence: Founding.test.ts with syncs of up to 400 ms: 32 of 126 cases without a leader.

Change: the wait starts again after an attempt of one's own and when a vote is granted.

--- a/src/control/log/Codec.ts
+++ b/src/control/log/Codec.ts
@@ -64,9 +64,9 @@
   return {
     id: id ?? '',
     incarnation: incarnation ?? '',
-    founders: (founders ?? []).map(fromWireMember).map((each) => ({
-      id: each.id,
-      address: each.address,
+    founders: (founders ?? []).map((founder) => ({
+      id: founder.id ?? '',
+      address: founder.address ?? '',
     })),
   };
 }
--- a/src/control/log/DataFolder.ts
+++ b/src/control/log/DataFolder.ts
@@ -36,7 +36,8 @@
 }
 
 /**
- * Locks a folder, empties it if it is marked for that, removes leftover files, and reads its identity or creates one that records `founders`.
+ * Locks a folder, empties it if it is marked for that, removes leftover files, and reads its identity, or creates one
+ * that records `founders`.
  *
  * @throws FolderLockedError; CorruptLogError when the folder belongs to another replica or its identity is missing.
  */
--- a/src/control/replication/Founder.ts
+++ b/src/control/replication/Founder.ts
@@ -56,6 +56,7 @@
       const candidates = await this.fetchMembers();
       if (this.isFoundingDue(candidates)) {
         await this.campaign(candidates).catch((err: Error) => this.listener.onFailed(err));
+        this.possibleSince = undefined;
       }
       await clock.sleep(tuning.electionTimeoutMs, signal).catch(() => {});
     }
@@ -83,7 +84,9 @@
     const lowerIds = candidates.filter(({ id }) => id < self.id).length;
     const mustWait = !hasAll || (this.isLaterStart && !hasRecordedMajority);
     const timeouts = lowerIds * LOWER_ID_WAIT_TIMEOUTS + (mustWait ? FOUNDING_WAIT_TIMEOUTS : 0);
-    return clock.monotonic() - this.possibleSince >= timeouts * tuning.electionTimeoutMs;
+    // Granting a vote restarts the election timer, so that the candidate is not disturbed at once.
+    const waitStart = Math.max(this.possibleSince, this.state.electionTimerStart);
+    return clock.monotonic() - waitStart >= timeouts * tuning.electionTimeoutMs;
   }
 
   private isRecordedMajority(members: readonly ICandidateMember[]): boolean {
--- a/src/control/replication/VoteCollector.ts
+++ b/src/control/replication/VoteCollector.ts
@@ -1,4 +1,4 @@
-/** Collects votes, for the election that founds a group and for ordinary ones. */
+/** Collects votes, both for the election that founds a group and for the later ones. */
 import type * as replicaState from './ReplicaState.js';
 import type * as types from './Types.js';
 
