Move the choice of stage endpoints out of StageScheduler

Change: usableReplicas and rankReplicas stand in ReplicaChoice.ts, as they were. No behaviour changes.

--- a/src/batching/StageScheduler.ts
+++ b/src/batching/StageScheduler.ts
@@ -3,6 +3,7 @@
 import type * as routing from '../routing/Types.js';
 import * as batchChooser from './BatchChooser.js';
 import * as queuedGroup from './QueuedGroup.js';
+import * as replicaChoice from './ReplicaChoice.js';
 import * as stageDemand from './StageDemand.js';
 import * as stageReplica from './StageReplica.js';
 import * as stageThroughput from './StageThroughput.js';
@@ -230,9 +231,10 @@
   /** Starts one call; false when no endpoint can take items now. */
   private startNextCall(now: commonTypes.Millis): boolean {
     const all = [...this.replicas.values()];
-    const usable = this.usableReplicas(now);
+    const usable = replicaChoice.usableReplicas(all, now);
     const available = usable.filter((replica) => replica.canStartCall(now));
-    const ranked = this.rankReplicas(available, this.mostUrgentGroup(now)?.group.preferredZone);
+    const preferredZone = this.mostUrgentGroup(now)?.group.preferredZone;
+    const ranked = replicaChoice.rankReplicas(available, preferredZone);
     const maxItems = this.maxItemsPerCall(ranked.length);
     const totalFree = all.reduce((sum, replica) => sum + replica.freeBytes, 0);
     const totalUsable = all.reduce((sum, replica) => sum + replica.usableBytes, 0);
@@ -259,13 +261,6 @@
     return false;
   }
 
-  /** The endpoints that may be called: those that are bypassed as slow only if every other one is failing. */
-  private usableReplicas(now: commonTypes.Millis): readonly stageReplica.StageReplica[] {
-    const all = [...this.replicas.values()];
-    const preferred = all.filter((replica) => !replica.isBypassed(now));
-    return preferred.some((replica) => !replica.isBackingOff(now)) ? preferred : all;
-  }
-
   private mostUrgentGroup(now: commonTypes.Millis): queuedGroup.QueuedGroup | undefined {
     let lowestKey = Number.POSITIVE_INFINITY;
     return this.queue.reduce<queuedGroup.QueuedGroup | undefined>((mostUrgent, queued) => {
@@ -276,23 +271,6 @@
     }, undefined);
   }
 
-  /**
-   * Sorts endpoints by speed, then by zone (that of the most urgent group's inputs first), then by free room.
-   */
-  private rankReplicas(
-    replicas: readonly stageReplica.StageReplica[],
-    preferredZone: string | undefined,
-  ): readonly stageReplica.StageReplica[] {
-    const zoneRank = (replica: stageReplica.StageReplica): number =>
-      replica.endpoint.availabilityZone === preferredZone ? 0 : 1;
-    const slowdownRank = (replica: stageReplica.StageReplica): number =>
-      Math.round(replica.slowdown * 2);
-    return [...replicas].sort(
-      (a, b) =>
-        slowdownRank(a) - slowdownRank(b) || zoneRank(a) - zoneRank(b) || b.freeBytes - a.freeBytes,
-    );
-  }
-
   /**
    * Limits the size of a call so that a short queue is spread over idle endpoints, but not below the size that
    * justifies the fixed cost of a call.
