Test that a founder gives way to a candidate it has voted for meanwhile

Cause: one of six changes put into the founding code as a check of its tests was not found by them: without the check of term and role, a winner appends the first entry in a term that it has left by voting in a later one, and counts itself towards a commit that the later leader may replace.

Change: a test that lets the vote arrive between the last vote for the winner and its first entry. Founder is unchanged.

Checked: passes as it is; with the check taken out it fails (the replica leads in the earlier term).

--- a/src/control/replication/Founding.test.ts
+++ b/src/control/replication/Founding.test.ts
@@ -114,6 +114,32 @@
     expect(await group.write('a', '2')).toBe('1');
   });
 
+  it('is given up by a winner that has voted for a later candidate meanwhile', async () => {
+    group = new simulatedGroup.SimulatedGroup(9);
+    await startFirst(THREE);
+    const [winner, other] = ['c1', 'c2'].map((id) => group.running.get(id)?.log);
+    while (winner?.status().role !== 'candidate') {
+      await group.clock.advance(1);
+    }
+    const { term, incarnation } = winner.status();
+    THREE.forEach((id) => {
+      (group.disks.get(id) as memoryDisk.MemoryDisk).minSyncMs = id === 'c1' ? 100 : 30;
+    });
+    const vote = {
+      from: 'c2',
+      fromIncarnation: other?.status().incarnation ?? '',
+      to: 'c1',
+      toIncarnation: incarnation,
+      term: term + 1,
+      body: { kind: 'vote', pre: false, lastIndex: 0, lastTerm: 0 },
+    } as const;
+    const voter = group.network.connect('voter', group.clock);
+    const answer = await group.advanceUntilSettled(voter.call('c1', vote, 1000));
+    expect(answer.body).toEqual({ kind: 'vote', granted: true });
+    await group.clock.advance(30);
+    expect(winner.status()).toMatchObject({ role: 'follower', term: term + 1, members: [] });
+  });
+
   it('does not happen while a group addresses an earlier incarnation', async () => {
     const ids = [...THREE, 'c4', 'c5'];
     group = new simulatedGroup.SimulatedGroup(8, ids);
