Let a replica's status say whether it votes and has a leader

Cause: GroupManager and GroupMonitor each worked out from the members whether the replica votes, as ReplicaState does, and each declared an interface of its own for hasLeader.

Change: IReplicaStatus has isVoter and hasLeader, both from ReplicaState; the two interfaces and the two copies are gone. The status of a replica that lost its folder is checked as learner and as voter (Group.test.ts), in place of the case of GroupMonitor.test.ts that worked it out from the members.

--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -22,6 +22,10 @@
   readonly role: ReplicaRole;
   readonly term: number;
   readonly leaderId: string | undefined;
+  /** True while the replica leads or has heard from the leader within the minimum election timeout. */
+  readonly hasLeader: boolean;
+  /** True when its log lists its incarnation as a voter. */
+  readonly isVoter: boolean;
   readonly commitIndex: number;
   readonly appliedIndex: number;
   readonly members: readonly IMember[];
--- a/src/control/group/GroupManager.test.ts
+++ b/src/control/group/GroupManager.test.ts
@@ -19,15 +19,16 @@
 function fakeReplica(
   status: Partial<controlTypes.IReplicaStatus>,
   confirms = true,
-): groupManager.IManagedReplica {
+): controlTypes.IReplicatedLog {
   return {
-    hasLeader: status.role === 'leader',
     status: () => ({
       id: 'c1',
       incarnation: 'new',
       role: 'follower',
       term: 2,
       leaderId: undefined,
+      hasLeader: status.role === 'leader',
+      isVoter: true,
       commitIndex: 2,
       appliedIndex: 2,
       members: [],
@@ -67,7 +68,7 @@
 function manage(
   at: grpc.Server,
   address: string,
-  log: groupManager.IManagedReplica,
+  log: controlTypes.IReplicatedLog,
   onRemoved = () => {},
 ): recordingLog.RecordingLogService {
   const logService = new recordingLog.RecordingLogService();
--- a/src/control/group/GroupManager.ts
+++ b/src/control/group/GroupManager.ts
@@ -52,15 +52,9 @@
 
 const encode = (value: IJoinRequest | IJoinAnswer): Buffer => Buffer.from(JSON.stringify(value));
 
-/** The replica that a group manager keeps in its group. */
-export interface IManagedReplica extends controlTypes.IReplicatedLog {
-  /** True while the replica leads or is in contact with the leader. */
-  readonly hasLeader: boolean;
-}
-
 /** Services and settings of a group manager. */
 export interface IGroupManagerServices {
-  readonly log: IManagedReplica;
+  readonly log: controlTypes.IReplicatedLog;
   readonly clock: commonTypes.IClock;
   readonly logService: commonServices.ILogService;
   /** `ip:port` where this VM listens for its peers. */
@@ -135,10 +129,8 @@
     let leaderAddress: string | undefined;
     let leaderSeenAt = clock.monotonic();
     while (!signal.aborted) {
-      const { id, incarnation, members, appliedIndex } = log.status();
-      const self = members.find((member) => member.id === id);
-      const isVoter = self?.voter === true && self.incarnation === incarnation;
-      if (log.hasLeader) {
+      const { id, incarnation, members, appliedIndex, hasLeader, isVoter } = log.status();
+      if (hasLeader) {
         leaderSeenAt = clock.monotonic();
       }
       if (!isVoter || clock.monotonic() - leaderSeenAt > JOIN_AFTER_SILENCE_MS) {
--- a/src/control/group/GroupMonitor.test.ts
+++ b/src/control/group/GroupMonitor.test.ts
@@ -14,12 +14,14 @@
   role: 'follower',
   term: 3,
   leaderId: undefined,
+  hasLeader: false,
+  isVoter: true,
   commitIndex: 1,
   appliedIndex: 1,
   members: [MEMBER],
 };
 
-async function monitor(replica: groupMonitor.IMonitoredReplica) {
+async function monitor(replica: groupMonitor.IGroupMonitorServices['log']) {
   const clock = new manualClock.ManualClock();
   const logService = new recordingLog.RecordingLogService();
   const metrics = new metricsRegistry.MetricsRegistry();
@@ -31,9 +33,9 @@
 test.each([
   ['no-group', { members: [] }],
   ['no-quorum', {}],
-  ['not-a-voter', { members: [{ ...MEMBER, incarnation: 'i2' }] }],
+  ['not-a-voter', { isVoter: false }],
 ] as const)('tells a group without a leader apart: %s', async (reason, change) => {
-  const replica = { hasLeader: false, status: () => ({ ...STATUS, ...change }) };
+  const replica = { status: () => ({ ...STATUS, ...change }) };
   const { logService, metrics, created } = await monitor(replica);
   const reports = logService.events.filter(({ event }) => event === 'group-unavailable');
   expect(reports).toMatchObject([{ fields: { reason, term: 3 } }]);
@@ -44,12 +46,7 @@
 
 test('reports once that the leader is back, and stays silent while there is one', async () => {
   let hasLeader = false;
-  const replica = {
-    status: () => STATUS,
-    get hasLeader() {
-      return hasLeader;
-    },
-  };
+  const replica = { status: () => ({ ...STATUS, hasLeader }) };
   const { clock, logService, created } = await monitor(replica);
   hasLeader = true;
   await clock.advance(20_000);
--- a/src/control/group/GroupMonitor.ts
+++ b/src/control/group/GroupMonitor.ts
@@ -7,17 +7,9 @@
 const REPORT_AFTER_MS = 1500;
 const REPORT_INTERVAL_MS = 5000;
 
-/** The part of a replica that the monitor reads. */
-export interface IMonitoredReplica {
-  /** Returns this replica's own view of the group. */
-  status(): controlTypes.IReplicaStatus;
-  /** True while this replica leads or is in contact with the leader. */
-  readonly hasLeader: boolean;
-}
-
 /** Dependencies of a group monitor. */
 export interface IGroupMonitorServices {
-  readonly log: IMonitoredReplica;
+  readonly log: Pick<controlTypes.IReplicatedLog, 'status'>;
   readonly clock: commonTypes.IClock;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
@@ -59,8 +51,8 @@
     const status = log.status();
     const now = clock.monotonic();
     metrics.gauge('group_members', status.members.length);
-    metrics.gauge('group_has_leader', log.hasLeader ? 1 : 0);
-    if (log.hasLeader) {
+    metrics.gauge('group_has_leader', status.hasLeader ? 1 : 0);
+    if (status.hasLeader) {
       if (this.reportedAt > this.leaderSeenAt) {
         const waited = Math.round(now - this.leaderSeenAt);
         logService.info('group-available', { waited, term: status.term });
@@ -89,7 +81,5 @@
   if (status.members.length === 0) {
     return 'no-group';
   }
-  const self = status.members.find(({ id }) => id === status.id);
-  const isVoter = self?.voter === true && self.incarnation === status.incarnation;
-  return isVoter ? 'no-quorum' : 'not-a-voter';
+  return status.isVoter ? 'no-quorum' : 'not-a-voter';
 }
--- a/src/control/replication/Group.test.ts
+++ b/src/control/replication/Group.test.ts
@@ -209,8 +209,15 @@
     await group.advanceUntilSettled(log.changeMembership({ action: 'remove', id: lostId }));
     const learner = { action: 'add-learner', id: lostId, address: lostId } as const;
     await group.advanceUntilSettled(log.changeMembership(learner));
-    expect(group.running.get(lostId)?.log.status().role).not.toBe('leader');
+    await group.converge();
+    expect(group.running.get(lostId)?.log.status()).toMatchObject({
+      role: 'learner',
+      isVoter: false,
+      hasLeader: true,
+    });
     await group.advanceUntilSettled(log.changeMembership({ action: 'promote', id: lostId }));
+    await group.converge();
+    expect(group.running.get(lostId)?.log.status().isVoter).toBe(true);
     // A second replica crashes right after the first one has been replaced.
     group.crash(otherId);
     expect(await group.write('a', '2')).toBe('1');
--- a/src/control/replication/Replica.ts
+++ b/src/control/replication/Replica.ts
@@ -140,24 +140,21 @@
 
   /** @inheritdoc */
   status(): controlTypes.IReplicaStatus {
-    const { self, role, term, leaderId, commitIndex, members } = this.state;
+    const { self, role, term, leaderId, isVoter, commitIndex, members } = this.state;
     return {
       id: self.id,
       incarnation: self.incarnation,
       role: members.find(self.id)?.voter === false ? 'learner' : role,
       term,
       leaderId,
+      hasLeader: role === 'leader' || this.state.hasRecentLeader,
+      isVoter,
       commitIndex,
       appliedIndex: this.entryApplier.appliedIndex,
       members: members.current,
     };
   }
 
-  /** True while this replica leads or has heard from the leader within the minimum election timeout. */
-  get hasLeader(): boolean {
-    return this.state.role === 'leader' || this.state.hasRecentLeader;
-  }
-
   /** Time since the last request that a peer answered was sent; undefined when this replica is not the leader. */
   timeSinceAnswer(id: string): commonTypes.Millis | undefined {
     return this.currentLeadership?.silenceOf(id);
--- a/src/control/testing/LocalLog.ts
+++ b/src/control/testing/LocalLog.ts
@@ -59,6 +59,8 @@
       role: this.leads ? 'leader' : 'follower',
       term: 1,
       leaderId: this.leads ? this.id : undefined,
+      hasLeader: this.leads,
+      isVoter: true,
       commitIndex: this.index,
       appliedIndex: this.index,
       members: [],
