Move the estimate of the remaining stages out of StageJob

Change: estimateRemainingTime stands in StageEstimate.ts; same sums in the same order. No behaviour changes.

--- a/src/batching/StageJob.ts
+++ b/src/batching/StageJob.ts
@@ -1,5 +1,6 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as routing from '../routing/Types.js';
+import * as stageEstimate from './StageEstimate.js';
 import type * as stageScheduler from './StageScheduler.js';
 import type * as types from './Types.js';
 
@@ -120,29 +121,6 @@
     this.slots.forEach((stage) => this.discardStage(stage));
   }
 
-  /**
-   * Estimated time in milliseconds from the start of a stage to the end of the longest chain of stages that depend
-   * on it, including the average waits of these stages. `position` and `at` are
-   * positions of stages.
-   */
-  static estimateRemainingTime(
-    stages: readonly routing.IStage[],
-    itemCounts: readonly number[],
-    position: number,
-    schedulerOf: (service: string) => stageScheduler.StageScheduler | undefined,
-  ): commonTypes.Millis {
-    const dependentTimes = stages
-      .map((stage, at) => (stage.after.includes(position) && (itemCounts[at] ?? 0) > 0 ? at : -1))
-      .filter((at) => at >= 0)
-      .map((at) => {
-        const wait = schedulerOf((stages[at] as routing.IStage).service)?.averageWait ?? 0;
-        return wait + StageJob.estimateRemainingTime(stages, itemCounts, at, schedulerOf);
-      });
-    const callTime =
-      schedulerOf((stages[position] as routing.IStage).service)?.typicalCallTime ?? 0;
-    return callTime + Math.max(0, ...dependentTimes);
-  }
-
   private advance(): void {
     if (this.ended) {
       return;
@@ -247,7 +225,7 @@
     const handles = heldInputs.map((result) => result.handle);
     const inputBytes = heldInputs.reduce((sum, result) => sum + result.bytes, 0);
     const remainingTime =
-      StageJob.estimateRemainingTime(
+      stageEstimate.estimateRemainingTime(
         this.request.stages,
         this.request.itemCounts,
         stagePosition,
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -1,3 +1,4 @@
+import * as stageEstimate from '../batching/StageEstimate.js';
 import * as stageJob from '../batching/StageJob.js';
 import * as stageScheduler from '../batching/StageScheduler.js';
 import type * as batching from '../batching/Types.js';
@@ -252,7 +253,7 @@
     const remainingTimes = missingStages
       .filter(({ stage }) => stage.after.length === 0)
       .map(({ at }) =>
-        stageJob.StageJob.estimateRemainingTime(req.stages, req.pieces, at, schedulerOf),
+        stageEstimate.estimateRemainingTime(req.stages, req.pieces, at, schedulerOf),
       );
     const remaining =
       Math.max(0, ...remainingTimes) + enginePlacer.EnginePlacer.typicalTimeToFirstToken;
