--- /dev/null
+++ b/src/ratelimit/testing/RecordingCallObserver.ts
@@ -0,0 +1,18 @@
+import type * as types from '../Types.js';
+
+/** Keeps the calls and statements that it is told of. */
+export class RecordingCallObserver implements types.ICallObserver {
+  readonly calls: { readonly endpointId: string; readonly kind: types.CallKind }[] = [];
+
+  readonly statements: types.IRateLimitStatement[] = [];
+
+  /** @inheritdoc */
+  recordCall(endpointId: string, kind: types.CallKind): void {
+    this.calls.push({ endpointId, kind });
+  }
+
+  /** @inheritdoc */
+  recordStatement(statement: types.IRateLimitStatement): void {
+    this.statements.push(statement);
+  }
+}
