--- a/bench/stages/FailoverPlanner.ts
+++ b/bench/stages/FailoverPlanner.ts
@@ -5,6 +5,7 @@
 import * as coordinators from '../../src/coordination/Coordinator.js';
 import * as heldResults from '../../src/coordination/HeldResults.js';
 import type * as coordination from '../../src/coordination/Types.js';
+import * as unlimitedRateLimiter from '../../src/ratelimit/testing/UnlimitedRateLimiter.js';
 import type * as endpointDirectory from '../../src/routing/EndpointDirectory.js';
 import type * as routing from '../../src/routing/Types.js';
 import * as mortalCaller from './MortalCaller.js';
@@ -79,8 +80,8 @@
   }
 
   /** @inheritdoc */
-  reassign(planId: string, failed: string): Promise<coordination.PlanOutcome> {
-    return this.coordinator?.reassign(planId, failed) ?? Promise.resolve(LOST);
+  reassign(planId: string, failed: string, isHealthy: boolean): Promise<coordination.PlanOutcome> {
+    return this.coordinator?.reassign(planId, failed, isHealthy) ?? Promise.resolve(LOST);
   }
 
   /** @inheritdoc */
@@ -132,6 +133,7 @@
       clock: this.clock,
       caller: this.caller,
       directory: this.directory,
+      rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
       logService: new recordingLog.RecordingLogService(),
       metrics: new recordingMetrics.RecordingMetricsService(),
     });
--- a/bench/stages/Play.ts
+++ b/bench/stages/Play.ts
@@ -6,6 +6,7 @@
 import * as coordinators from '../../src/coordination/Coordinator.js';
 import type * as coordination from '../../src/coordination/Types.js';
 import * as endpointDirectory from '../../src/routing/EndpointDirectory.js';
+import * as unlimitedRateLimiter from '../../src/ratelimit/testing/UnlimitedRateLimiter.js';
 import type * as routing from '../../src/routing/Types.js';
 import * as simulatedStages from './SimulatedStages.js';
 import type * as types from './Types.js';
@@ -49,6 +50,7 @@
     clock,
     caller,
     directory,
+    rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
     logService: new recordingLog.RecordingLogService(),
     metrics: new recordingMetrics.RecordingMetricsService(),
   });
--- a/src/batching/StageScheduler.test.ts
+++ b/src/batching/StageScheduler.test.ts
@@ -3,6 +3,7 @@
 import * as manualClock from '../common/testing/ManualClock.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
+import * as unlimitedRateLimiter from '../ratelimit/testing/UnlimitedRateLimiter.js';
 import type * as routing from '../routing/Types.js';
 import * as stageScheduler from './StageScheduler.js';
 import * as types from './Types.js';
@@ -71,6 +72,7 @@
   scheduler = new stageScheduler.StageScheduler('s', LIMITS, {
     clock,
     caller,
+    rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
     logService: new recordingLog.RecordingLogService(),
     metrics: new recordingMetrics.RecordingMetricsService(),
   });
--- a/src/batching/StageScheduler.ts
+++ b/src/batching/StageScheduler.ts
@@ -1,5 +1,6 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as batchChooser from './BatchChooser.js';
 import * as queuedGroup from './QueuedGroup.js';
@@ -41,6 +42,7 @@
 export interface IStageSchedulerDependencies {
   readonly clock: commonTypes.IClock;
   readonly caller: types.IStageCaller;
+  readonly rateLimiter: rateLimits.IEndpointRateLimiter;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
 }
@@ -182,10 +184,24 @@
     const unblocked = [...this.replicas.values()].filter(
       (replica) => replica.remainingBlock(now) === 0,
     );
-    const slowdowns = unblocked.map((replica) => replica.slowdown);
+    const slowdowns = unblocked.map((replica) => this.effectiveSlowdown(replica));
     return this.throughput.estimate(slowdowns, this.limits);
   }
 
+  /** Slowdown of an endpoint; at least such that its full calls take the time between two calls of its rate limit. */
+  private effectiveSlowdown({ endpoint, slowdown }: stageReplica.StageReplica): number {
+    const rate = this.dependencies.rateLimiter.rateOf(endpoint.id);
+    const { callCost, itemCost, maxItemsPerCall } = this.limits;
+    const fullCallTime = callCost + itemCost * maxItemsPerCall;
+    return rate === undefined ? slowdown : Math.max(slowdown, 1000 / rate / fullCallTime);
+  }
+
+  /** Time until an endpoint may be called: until its backoff or pause ends and its rate limit allows a call. */
+  private blockOf(replica: stageReplica.StageReplica, now: commonTypes.Millis): commonTypes.Millis {
+    const limitDelay = this.dependencies.rateLimiter.delayOf(replica.endpoint.id);
+    return Math.max(replica.remainingBlock(now), limitDelay);
+  }
+
   /**
    * Starts as many calls as possible. If items remain, dispatches again at the end of the first backoff or
    * pause, or after half the fixed cost of a call if that is sooner.
@@ -196,7 +212,7 @@
     while (this.queue.length > 0 && this.startNextCall(now));
     if (this.queue.length > 0 && this.timer === undefined) {
       const blocks = [...this.replicas.values()]
-        .map((replica) => replica.remainingBlock(now))
+        .map((replica) => this.blockOf(replica, now))
         .filter((block) => block > 0);
       this.scheduleDispatch(Math.min(...blocks, this.limits.callCost / 2));
     }
@@ -232,14 +248,16 @@
   private startNextCall(now: commonTypes.Millis): boolean {
     const all = [...this.replicas.values()];
     const usable = replicaChoice.usableReplicas(all, now);
-    const available = usable.filter((replica) => replica.canStartCall(now));
+    const { rateLimiter } = this.dependencies;
+    const withinLimit = usable.filter(({ endpoint }) => rateLimiter.delayOf(endpoint.id) === 0);
+    const available = withinLimit.filter((replica) => replica.canStartCall(now));
     const preferredZone = this.mostUrgentGroup(now)?.group.preferredZone;
     const ranked = replicaChoice.rankReplicas(available, preferredZone);
-    const maxItems = this.maxItemsPerCall(ranked.length);
+    const evenItems = this.maxItemsPerCall(ranked.length);
     const totalFree = all.reduce((sum, replica) => sum + replica.freeBytes, 0);
     const totalUsable = all.reduce((sum, replica) => sum + replica.usableBytes, 0);
     const endpointsByZone = new Map<string, number>();
-    usable.forEach(({ endpoint: { availabilityZone: zone } }) =>
+    withinLimit.forEach(({ endpoint: { availabilityZone: zone } }) =>
       endpointsByZone.set(zone, (endpointsByZone.get(zone) ?? 0) + 1),
     );
     const isLightlyLoaded = this.queueDelay(Number.POSITIVE_INFINITY) < LIGHT_LOAD_DELAY_MS;
@@ -251,6 +269,8 @@
         isLightlyLoaded,
         now,
       };
+      const isLimited = rateLimiter.rateOf(replica.endpoint.id) !== undefined;
+      const maxItems = isLimited ? this.limits.maxItemsPerCall : evenItems;
       const sorted = batchChooser.sortByUrgency(this.queue, site);
       const picks = batchChooser.chooseBatch(sorted, maxItems, room, site);
       if (picks.length > 0) {
@@ -297,6 +317,7 @@
     this.queue = this.queue.filter((queued) => queued.remaining > 0);
     const batchBytes = batch.reduce((sum, { group }) => sum + group.resultBytes, 0);
     this.throughput.recordResultBytes(batchBytes / batch.length);
+    this.dependencies.rateLimiter.take(replica.endpoint.id);
     replica.recordCallStart(now, batch.length, batchBytes);
     void this.runCall(replica, batch, now);
   }
--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -7,6 +7,8 @@
 import * as feedServer from '../coordination/FeedServer.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import * as endpointPoller from '../routing/EndpointPoller.js';
+import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
+import * as sharedRateLimiter from '../ratelimit/SharedRateLimiter.js';
 import type * as routing from '../routing/Types.js';
 import * as documentService from './document/DocumentService.js';
 import * as documentState from './document/DocumentState.js';
@@ -63,6 +65,8 @@
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
   readonly stageCaller: batching.IStageCaller;
+  /** Rate limits that responses to the stage caller state. */
+  readonly rateLimitTable: rateLimitTable.RateLimitTable;
   readonly source: endpointPoller.IEndpointSource;
   /** Parses the text of a routing document; throws when it is invalid. */
   readonly parse: (text: string) => routing.IRoutingTable;
@@ -108,13 +112,29 @@
     const log = await openLog(options, dependencies, state, transport);
     disposables.add(log);
     const directory = new endpointDirectory.EndpointDirectory();
-    const { stageCaller: caller, metrics } = dependencies;
+    const { stageCaller: caller, metrics, rateLimitTable: limits } = dependencies;
+    const rateLimiter = new sharedRateLimiter.SharedRateLimiter(
+      limits,
+      clock,
+      () => log.status().role === 'leader',
+    );
+    directory.onChange(({ endpoints }) => limits.retain(new Set(endpoints.map(({ id }) => id))));
     const coordinator = disposables.add(
-      new coordinators.Coordinator({ clock, caller, directory, logService, metrics }),
+      new coordinators.Coordinator({ clock, caller, directory, rateLimiter, logService, metrics }),
     );
     followDocument(state, coordinator, dependencies);
-    const feedDependencies = { log, document: state, directory, coordinator, clock, logService };
-    const feed = disposables.add(new feedServer.FeedServer(server, feedDependencies));
+    const feed = disposables.add(
+      new feedServer.FeedServer(server, {
+        log,
+        document: state,
+        directory,
+        coordinator,
+        rateLimitTable: limits,
+        rateLimiter,
+        clock,
+        logService,
+      }),
+    );
     const { address, seeds } = options;
     const group = { log, clock, logService, address, seeds };
     disposables.add(new groupManager.GroupManager(server, group, onRemoved));
--- a/src/coordination/Coordinator.test.ts
+++ b/src/coordination/Coordinator.test.ts
@@ -3,6 +3,7 @@
 import * as manualClock from '../common/testing/ManualClock.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
+import * as unlimitedRateLimiter from '../ratelimit/testing/UnlimitedRateLimiter.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import * as coordinators from './Coordinator.js';
@@ -11,6 +12,8 @@
 const { beforeEach, describe, expect, it } = vitest;
 const CALL_MS = 100;
 const RESULT_LIFE_MS = 4000;
+/** Time after which results that are not needed are freed with one call for each endpoint. */
+const FREE_BATCH_MS = 8;
 const STAGES: readonly routing.IStage[] = [
   { service: 'stage', after: [], resultBytes: 10 },
   { service: 'stage', after: [0], resultBytes: 10 },
@@ -75,6 +78,7 @@
       clock,
       caller,
       directory,
+      rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
       logService: new recordingLog.RecordingLogService(),
       metrics: new recordingMetrics.RecordingMetricsService(),
     });
@@ -143,7 +147,7 @@
       { stage: 1, segment: 0, handle: 'r/1/0', maker: 's1', life: 1000 },
       { stage: 1, segment: 1, handle: 'r/1/1', maker: 'gone', life: 1000 },
     ]);
-    await clock.advance(1);
+    await clock.advance(FREE_BATCH_MS);
     expect(caller.freedHandles).toEqual(['r/1/0']);
   });
 });
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -1,12 +1,15 @@
-import * as stageEstimate from '../batching/StageEstimate.js';
 import * as stageJob from '../batching/StageJob.js';
 import * as stageScheduler from '../batching/StageScheduler.js';
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
 import * as enginePlacer from '../placing/EnginePlacer.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
+import * as placementQueue from './PlacementQueue.js';
+import * as planAdmission from './PlanAdmission.js';
+import * as resultReleaser from './ResultReleaser.js';
 import type * as types from './Types.js';
 
 /** Components that a coordinator uses. */
@@ -14,6 +17,7 @@
   readonly clock: commonTypes.IClock;
   readonly caller: batching.IStageCaller;
   readonly directory: endpointDirectory.EndpointDirectory;
+  readonly rateLimiter: rateLimits.IEndpointRateLimiter;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
 }
@@ -28,24 +32,12 @@
   avoid: readonly string[];
 }
 
-/** Results that become unused within this interval are freed with one call per endpoint. */
-const FREE_BATCH_INTERVAL_MS = 8;
-/** Minimum `retryAfter` of a refusal. */
+/** `retryAfter` of a refusal, at least. */
 const MIN_RETRY_AFTER_MS = 150;
-/**
- * Ratio of `retryAfter` to the time left until the deadline for a request refused as overloaded: most bursts end
- * within this time, and enough time is left for a second attempt.
- */
-const RETRY_AFTER_DEADLINE_RATIO = 0.3;
 /** Results that expire within this time are not sent to another engine. */
 const MIN_RESULT_LIFE_MS = 300;
 /** A plan for which no end was reported is removed this long after its deadline. */
 const PLAN_RETENTION_MS = 2000;
-/**
- * A request that will miss its goal is admitted if all queued work, and then the request itself, is done within this
- * ratio of the time left until its deadline.
- */
-const LATE_ADMISSION_DEADLINE_RATIO = 0.3;
 
 /**
  * Plans the requests of all entry VMs together, so that a batch can hold items from several of them.
@@ -61,10 +53,11 @@
   /** Id of the latest plan of each request, by request id. */
   private readonly latestPlanIds = new Map<string, string>();
 
-  /** Results to free with the next batch, by endpoint id. */
-  private readonly pendingFrees = new Map<string, batching.IHeldResult[]>();
+  private readonly releaser: resultReleaser.ResultReleaser;
 
-  private freeTimer: commonTypes.IDisposable | undefined;
+  private readonly placementQueue: placementQueue.PlacementQueue;
+
+  private readonly admission: planAdmission.PlanAdmission;
 
   private routingTable: routing.IRoutingTable | undefined;
 
@@ -73,6 +66,17 @@
   /** Creates a coordinator that serves requests once `configure` has been called. */
   constructor(private readonly deps: ICoordinatorDependencies) {
     this.subscription = deps.directory.onChange(() => this.updateServices());
+    this.releaser = new resultReleaser.ResultReleaser(deps, (service) =>
+      this.schedulers.get(service)?.scheduleDispatch(0),
+    );
+    this.placementQueue = new placementQueue.PlacementQueue(deps.clock, (planId) =>
+      this.retryPlacement(planId),
+    );
+    this.admission = new planAdmission.PlanAdmission({
+      schedulerOf: (service) => this.schedulers.get(service),
+      placerOf: (service) => this.placers.get(service),
+      unplacedPlans: (service, priority) => this.countUnplaced(service, priority),
+    });
   }
 
   /** Applies a version of the configuration. */
@@ -92,7 +96,7 @@
     onResult: types.ResultListener = () => {},
   ): Promise<types.PlanOutcome> {
     const held = [...req.held, ...this.takeOverResults(req.requestId)];
-    const refusal = this.checkAdmission(req, held);
+    const refusal = this.admission.check(req, held);
     if (refusal !== undefined) {
       this.freeResults(held);
       this.logOutcome(req, refusal, 0);
@@ -117,7 +121,7 @@
         (service) => this.schedulers.get(service),
         {
           onOutcome: (outcome) => this.finishStages(req.planId, outcome),
-          onDiscard: (results) => this.queueFree(results),
+          onDiscard: (results) => this.releaser.add(results),
           onResult,
         },
       );
@@ -132,10 +136,13 @@
   /** Frees results that an earlier coordinator produced; results of endpoints that are no longer listed are skipped. */
   freeResults(records: readonly batching.IResultRecord[]): void {
     const { endpoints } = this.deps.directory.current;
-    records.forEach(({ maker, handle }) => {
-      const endpoint = endpoints.find(({ id }) => id === maker);
-      if (endpoint !== undefined) {
-        void this.deps.caller.free(endpoint, [handle]);
+    const now = this.deps.clock.monotonic();
+    records.forEach(({ maker: makerId, handle, life }) => {
+      const maker = endpoints.find(({ id }) => id === makerId);
+      if (maker !== undefined) {
+        // Its room is not accounted for here.
+        const release = (): void => {};
+        this.releaser.add([{ handle, maker, bytes: 0, expiresAt: now + life, release }]);
       }
     });
   }
@@ -155,11 +162,12 @@
   }
 
   /** @inheritdoc */
-  reassign(planId: string, failed: string): Promise<types.PlanOutcome> {
+  reassign(planId: string, failed: string, isHealthy: boolean): Promise<types.PlanOutcome> {
     const plan = this.plans.get(planId);
-    this.recordFailure(planId, failed);
-    const limit = this.deps.clock.monotonic() + MIN_RESULT_LIFE_MS;
-    if (plan?.results === undefined || plan.results.some(({ expiresAt }) => expiresAt < limit)) {
+    if (!isHealthy) {
+      this.recordFailure(planId, failed);
+    }
+    if (plan?.results === undefined || this.hasExpiringResults(plan)) {
       this.removePlan(planId);
       return Promise.resolve({ kind: 'refused', reason: 'lost', retryAfter: MIN_RETRY_AFTER_MS });
     }
@@ -198,12 +206,12 @@
     this.subscription.dispose();
     [...this.plans.keys()].forEach((id) => this.removePlan(id));
     this.schedulers.forEach((scheduler) => scheduler.dispose());
-    this.freeTimer?.dispose();
-    this.flushFrees();
+    this.placementQueue.dispose();
+    this.releaser.dispose();
   }
 
   private updateServices(): void {
-    const { directory, clock } = this.deps;
+    const { directory, clock, rateLimiter } = this.deps;
     this.routingTable?.services.forEach(({ name, batch, engine }) => {
       if (batch !== undefined) {
         const scheduler =
@@ -212,7 +220,8 @@
         scheduler.updateEndpoints(directory.ready(name), batch);
       }
       if (engine !== undefined) {
-        const placer = this.placers.get(name) ?? new enginePlacer.EnginePlacer(clock, engine);
+        const placer =
+          this.placers.get(name) ?? new enginePlacer.EnginePlacer(clock, engine, rateLimiter);
         this.placers.set(name, placer);
         placer.updateEndpoints(directory.ready(name), engine);
       }
@@ -234,45 +243,6 @@
     return records;
   }
 
-  /**
-   * Returns a refusal for a request that can't be served in time because the work queued before it takes
-   * longer than the time that the request has left; undefined if the request is admitted.
-   */
-  private checkAdmission(
-    req: types.IPlanRequest,
-    held: readonly batching.IResultRecord[],
-  ): types.PlanOutcome | undefined {
-    const schedulerOf = (service: string): stageScheduler.StageScheduler | undefined =>
-      this.schedulers.get(service);
-    const missingStages = req.stages
-      .map((stage, at) => ({ stage, at, scheduler: schedulerOf(stage.service) }))
-      .filter(({ at }) => (req.pieces[at] ?? 0) > held.filter(({ stage }) => stage === at).length);
-    if (missingStages.length === 0) {
-      return undefined;
-    }
-    const remainingTimes = missingStages
-      .filter(({ stage }) => stage.after.length === 0)
-      .map(({ at }) =>
-        stageEstimate.estimateRemainingTime(req.stages, req.pieces, at, schedulerOf),
-      );
-    const remaining =
-      Math.max(0, ...remainingTimes) + enginePlacer.EnginePlacer.typicalTimeToFirstToken;
-    const queueDelays = (priority: number): readonly number[] =>
-      missingStages.map(
-        ({ scheduler }) => scheduler?.demandDelay(priority) ?? Number.POSITIVE_INFINITY,
-      );
-    const meetsGoal = Math.max(...queueDelays(req.priority)) + remaining <= req.goalLeft;
-    const afterAllQueued = Math.max(...queueDelays(Number.POSITIVE_INFINITY)) + remaining;
-    if (remaining > req.deadlineLeft) {
-      return { kind: 'refused', reason: 'too-late', retryAfter: MIN_RETRY_AFTER_MS };
-    }
-    if (meetsGoal || afterAllQueued <= req.deadlineLeft * LATE_ADMISSION_DEADLINE_RATIO) {
-      return undefined;
-    }
-    const retryAfter = Math.max(MIN_RETRY_AFTER_MS, req.deadlineLeft * RETRY_AFTER_DEADLINE_RATIO);
-    return { kind: 'refused', reason: 'overloaded', retryAfter };
-  }
-
   private recordFailure(planId: string, endpoint: string): void {
     this.placers.forEach((placer) => placer.recordFailure(endpoint));
     this.deps.logService.warn('engine-failed', { plan: planId, endpoint });
@@ -285,27 +255,30 @@
     }
     if (outcome.kind === 'failed') {
       const reason = outcome.reason === 'expired' ? 'too-late' : 'stage-failed';
-      this.resolvePlan(plan, { kind: 'refused', reason, retryAfter: MIN_RETRY_AFTER_MS });
-      this.removePlan(planId);
+      this.refusePlan(planId, plan, reason, MIN_RETRY_AFTER_MS);
       return;
     }
     plan.results = outcome.results;
     this.placeRequest(planId, plan);
   }
 
-  /** Chooses an engine for a plan whose stages are complete, and resolves the plan. */
+  /**
+   * Chooses an engine for a plan whose stages are complete, and resolves the plan. Queues the plan if rate limits allow
+   * no engine now.
+   */
   private placeRequest(planId: string, plan: IPlanState): void {
     const { req, avoid, results = [] } = plan;
     const inputs = results.map(({ maker, bytes }) => ({ zone: maker.availabilityZone, bytes }));
     const placement = { planId, prompt: req.prompt, inputs, avoid };
-    const endpoint = this.placers.get(req.service)?.place(placement);
+    const placer = this.placers.get(req.service);
+    const endpoint = placer?.place(placement);
     if (endpoint === undefined) {
-      this.resolvePlan(plan, {
-        kind: 'refused',
-        reason: 'no-endpoint',
-        retryAfter: MIN_RETRY_AFTER_MS,
-      });
-      this.removePlan(planId);
+      const limitDelay = placer?.limitDelay(avoid) ?? Number.POSITIVE_INFINITY;
+      if (Number.isFinite(limitDelay)) {
+        this.queuePlacement(planId, plan, limitDelay);
+      } else {
+        this.refusePlan(planId, plan, 'no-endpoint', MIN_RETRY_AFTER_MS);
+      }
       return;
     }
     this.resolvePlan(plan, {
@@ -315,6 +288,48 @@
     });
   }
 
+  private queuePlacement(planId: string, plan: IPlanState, delay: commonTypes.Millis): void {
+    const { requestId, service, priority, goalLeft } = plan.req;
+    const fields = { request: requestId, plan: planId, service, delay: Math.round(delay) };
+    this.deps.logService.info('plan-waits-for-engine', fields);
+    const goalAt = plan.requestedAt + goalLeft;
+    this.placementQueue.add(planId, { service, priority, goalAt }, delay);
+  }
+
+  private retryPlacement(planId: string): void {
+    const plan = this.plans.get(planId);
+    if (plan === undefined) {
+      return;
+    }
+    if (this.hasExpiringResults(plan)) {
+      this.refusePlan(planId, plan, 'overloaded', MIN_RETRY_AFTER_MS);
+      return;
+    }
+    this.placeRequest(planId, plan);
+  }
+
+  private hasExpiringResults({ results = [] }: IPlanState): boolean {
+    const limit = this.deps.clock.monotonic() + MIN_RESULT_LIFE_MS;
+    return results.some(({ expiresAt }) => expiresAt < limit);
+  }
+
+  private countUnplaced(service: string, maxPriority: number): number {
+    return [...this.plans.values()].filter(
+      ({ req, resolve }) =>
+        resolve !== undefined && req.service === service && req.priority <= maxPriority,
+    ).length;
+  }
+
+  private refusePlan(
+    planId: string,
+    plan: IPlanState,
+    reason: types.PlanRefusal,
+    retryAfter: commonTypes.Millis,
+  ): void {
+    this.resolvePlan(plan, { kind: 'refused', reason, retryAfter });
+    this.removePlan(planId);
+  }
+
   private resolvePlan(plan: IPlanState, outcome: types.PlanOutcome): void {
     const { resolve } = plan;
     if (resolve !== undefined) {
@@ -330,6 +345,7 @@
       return;
     }
     this.plans.delete(planId);
+    this.placementQueue.delete(planId);
     if (this.latestPlanIds.get(plan.req.requestId) === planId) {
       this.latestPlanIds.delete(plan.req.requestId);
     }
@@ -363,34 +379,4 @@
       this.deps.metrics.count('plan_refused', { reason });
     }
   }
-
-  private queueFree(results: readonly batching.IHeldResult[]): void {
-    results.forEach((result) => {
-      const batch = this.pendingFrees.get(result.maker.id) ?? [];
-      batch.push(result);
-      this.pendingFrees.set(result.maker.id, batch);
-    });
-    if (this.pendingFrees.size > 0 && this.freeTimer === undefined) {
-      this.freeTimer = this.deps.clock.setTimer(FREE_BATCH_INTERVAL_MS, () => this.flushFrees());
-    }
-  }
-
-  private flushFrees(): void {
-    this.freeTimer = undefined;
-    const batches = [...this.pendingFrees.values()];
-    this.pendingFrees.clear();
-    batches.forEach((results) => {
-      void this.freeBatch(results);
-    });
-  }
-
-  /** Frees results of one endpoint; their memory counts as available only after the endpoint has confirmed. */
-  private async freeBatch(results: readonly batching.IHeldResult[]): Promise<void> {
-    const { maker } = results[0] as batching.IHeldResult;
-    const handles = results.map(({ handle }) => handle);
-    if (await this.deps.caller.free(maker, handles)) {
-      results.forEach((result) => result.release());
-      this.schedulers.get(maker.service)?.scheduleDispatch(0);
-    }
-  }
 }
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -2,6 +2,7 @@
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as feedConnection from './FeedConnection.js';
 import * as heldResults from './HeldResults.js';
@@ -43,7 +44,9 @@
 /**
  * Keeps one connection to the control VM that coordinates, and searches for its successor when the connection is lost.
  */
-export class FeedClient implements types.IPlanner, commonTypes.IDisposable {
+export class FeedClient
+  implements types.IPlanner, rateLimits.ICoordinatorLink, commonTypes.IDisposable
+{
   private readonly stopController = new AbortController();
 
   private readonly pending = new Map<string, IPendingPlan>();
@@ -68,6 +71,23 @@
 
   private readonly endpointsEmitter = new emitter.Emitter<routing.IEndpointList>();
 
+  private readonly coordinatorFoundEmitter = new emitter.Emitter<void>();
+
+  private readonly permitEmitter = new emitter.Emitter<rateLimits.IPermitAnswer>();
+
+  private readonly rateLimitsEmitter = new emitter.Emitter<
+    readonly rateLimits.IRateLimitObservation[]
+  >();
+
+  /** @inheritdoc */
+  readonly onCoordinatorFound = this.coordinatorFoundEmitter.event;
+
+  /** @inheritdoc */
+  readonly onPermit = this.permitEmitter.event;
+
+  /** @inheritdoc */
+  readonly onRateLimits = this.rateLimitsEmitter.event;
+
   /** Fires for each configuration that a control VM sends. */
   readonly onDocument = this.documentEmitter.event;
 
@@ -132,8 +152,20 @@
   }
 
   /** @inheritdoc */
-  reassign(planId: string, failed: string): Promise<types.PlanOutcome> {
-    return this.requestPlan(planId, { kind: 'again', planId, failed });
+  reassign(planId: string, failed: string, isHealthy: boolean): Promise<types.PlanOutcome> {
+    return this.requestPlan(planId, { kind: 'again', planId, failed, isHealthy });
+  }
+
+  /** @inheritdoc */
+  requestPermit(permitId: number, endpointId: string): void {
+    this.send({ kind: 'permit', permitId, endpointId });
+  }
+
+  /** @inheritdoc */
+  sendRateLimits(observations: readonly rateLimits.IRateLimitObservation[]): void {
+    if (observations.length > 0) {
+      this.send({ kind: 'limits', observations });
+    }
   }
 
   /** @inheritdoc */
@@ -306,6 +338,12 @@
       case 'made':
         message.made.forEach(({ planId, record }) => this.held.add(planId, record));
         break;
+      case 'limits':
+        this.rateLimitsEmitter.fire(message.observations);
+        break;
+      case 'permit':
+        this.permitEmitter.fire(message.answer);
+        break;
       default: {
         const pendingPlan = this.pending.get(message.planId);
         this.pending.delete(message.planId);
@@ -317,7 +355,8 @@
   private handleState(state: types.DownMessage & { kind: 'state' }, address: string): void {
     this.search.updateMembers(state.members);
     this.reportedEntryCount = Math.max(1, state.entries);
-    if (state.leads && !this.hasCoordinator) {
+    const isFound = state.leads && !this.hasCoordinator;
+    if (isFound) {
       this.deps.logService.info('coordinator-found', { address, term: state.term });
     }
     if (this.hasCoordinator && !state.leads) {
@@ -327,6 +366,9 @@
     this.hasCoordinator = state.leads;
     this.isCoordinatorConfirmed = state.confirmed;
     this.leaderHint = state.leads ? undefined : state.leader;
+    if (isFound) {
+      this.coordinatorFoundEmitter.fire();
+    }
     if (state.wantsEndpoints && this.deps.endpoints().revision > 0) {
       this.connection?.write({ kind: 'endpoints', list: this.deps.endpoints() });
     }
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -4,10 +4,13 @@
 import type * as commonServices from '../common/services/Services.js';
 import type * as documentState from '../control/document/DocumentState.js';
 import type * as controlTypes from '../control/Types.js';
+import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import type * as coordinator from './Coordinator.js';
 import * as feedCodec from './FeedCodec.js';
+import * as rateLimitExchange from './RateLimitExchange.js';
 import type * as types from './Types.js';
 
 type Stream = grpc.ServerDuplexStream<types.UpMessage, types.DownMessage>;
@@ -42,6 +45,8 @@
   readonly document: documentState.DocumentState;
   readonly directory: endpointDirectory.EndpointDirectory;
   readonly coordinator: coordinator.Coordinator;
+  readonly rateLimitTable: rateLimitTable.RateLimitTable;
+  readonly rateLimiter: rateLimits.IEndpointRateLimiter;
   readonly clock: commonTypes.IClock;
   readonly logService: commonServices.ILogService;
 }
@@ -57,6 +62,8 @@
 
   private readonly stopController = new AbortController();
 
+  private readonly rateLimitExchange: rateLimitExchange.RateLimitExchange;
+
   private isCoordinating = false;
 
   private leaderSeenAt: commonTypes.Millis;
@@ -70,7 +77,13 @@
     server.addService(feedCodec.FEED_SERVICE, {
       open: (stream: Stream) => this.openSession(stream),
     });
+    this.rateLimitExchange = new rateLimitExchange.RateLimitExchange(
+      deps.rateLimitTable,
+      deps.rateLimiter,
+      (message) => this.broadcast(message),
+    );
     this.subscriptions.push(
+      this.rateLimitExchange,
       deps.document.onChange(() => this.broadcastDocument()),
       deps.directory.onChange((list) => this.broadcastEndpoints(list)),
       deps.log.onLeadership(() => this.broadcastState()),
@@ -156,6 +169,9 @@
   private handleMessage(session: ISession, message: types.UpMessage): void {
     Object.assign(session, { lastReceivedAt: this.deps.clock.monotonic() });
     const { coordinator: planner } = this.deps;
+    const send = (down: types.DownMessage): void => {
+      session.stream.write(down);
+    };
     switch (message.kind) {
       case 'hello':
         this.handleHello(session, message.vm, message.version);
@@ -180,7 +196,7 @@
         void this.sendOutcome(
           session,
           message.planId,
-          planner.reassign(message.planId, message.failed),
+          planner.reassign(message.planId, message.failed, message.isHealthy ?? false),
         );
         break;
       case 'cancel':
@@ -194,6 +210,17 @@
         session.plans.delete(message.planId);
         planner.markEnded(message.planId, message.failed);
         break;
+      case 'limits':
+        this.rateLimitExchange.handleLimits(session.vm, message.observations, send);
+        break;
+      case 'permit':
+        this.rateLimitExchange.handlePermit(
+          message.permitId,
+          message.endpointId,
+          this.isCoordinating,
+          send,
+        );
+        break;
       default:
     }
   }
@@ -204,6 +231,7 @@
     this.deps.logService.info('feed-opened', { vm, version, leads: this.isCoordinating });
     session.stream.write(this.buildState());
     this.sendDocumentTo(session);
+    this.rateLimitExchange.greet((message) => session.stream.write(message));
     const list = this.deps.directory.current;
     if (this.canPlan) {
       session.stream.write({ kind: 'endpoints', list });
--- /dev/null
+++ b/src/coordination/PlanAdmission.ts
@@ -0,0 +1,117 @@
+import * as stageEstimate from '../batching/StageEstimate.js';
+import type * as stageScheduler from '../batching/StageScheduler.js';
+import type * as batching from '../batching/Types.js';
+import type * as commonTypes from '../common/Types.js';
+import * as enginePlacer from '../placing/EnginePlacer.js';
+import type * as types from './Types.js';
+
+/** Minimum `retryAfter` of a refusal. */
+const MIN_RETRY_AFTER_MS = 150;
+/**
+ * Ratio of `retryAfter` to the time left until the deadline for a request refused as overloaded: most bursts end
+ * within this time, and enough time is left for a second attempt.
+ */
+const RETRY_AFTER_DEADLINE_RATIO = 0.3;
+/**
+ * A request that will miss its goal is admitted if all queued work, and then the request itself, is done within this
+ * ratio of the time left until its deadline.
+ */
+const LATE_ADMISSION_DEADLINE_RATIO = 0.3;
+/**
+ * Longest wait for an engine with a rate limit that is planned for a request with complete stages, whose results hold
+ * room meanwhile.
+ */
+const MAX_ENGINE_WAIT_MS = 2000;
+
+/** State of a coordinator that decides on the admission of requests. */
+export interface IPlanAdmissionDependencies {
+  /** Returns the scheduler of a stage service; undefined for an unknown service. */
+  readonly schedulerOf: (service: string) => stageScheduler.StageScheduler | undefined;
+  /** Returns the placer of an engine service; undefined for an unknown service. */
+  readonly placerOf: (service: string) => enginePlacer.EnginePlacer | undefined;
+  /** Number of plans of a service, of this priority and more urgent ones, that have no engine yet. */
+  readonly unplacedPlans: (service: string, priority: number) => number;
+}
+
+/**
+ * Decides on its arrival whether a request can be served in time behind the work that goes before it. Answers bursts in
+ * which stages have more work than time, and engines that all name a rate limit.
+ */
+export class PlanAdmission {
+  /** Decides by the state that `deps` returns. */
+  constructor(private readonly deps: IPlanAdmissionDependencies) {}
+
+  /**
+   * Returns a refusal for a request that can't be served in time; undefined if the request is admitted. `held` are the
+   * results of earlier plans that it continues with.
+   */
+  check(
+    req: types.IPlanRequest,
+    held: readonly batching.IResultRecord[],
+  ): types.PlanOutcome | undefined {
+    const { schedulerOf } = this.deps;
+    const missingStages = req.stages
+      .map((stage, at) => ({ stage, at, scheduler: schedulerOf(stage.service) }))
+      .filter(({ at }) => (req.pieces[at] ?? 0) > held.filter(({ stage }) => stage === at).length);
+    const remainingTimes = missingStages
+      .filter(({ stage }) => stage.after.length === 0)
+      .map(({ at }) =>
+        stageEstimate.estimateRemainingTime(req.stages, req.pieces, at, schedulerOf),
+      );
+    const stageTime = Math.max(0, ...remainingTimes);
+    const queueDelay = (priority: number): commonTypes.Millis =>
+      Math.max(
+        0,
+        ...missingStages.map(
+          ({ scheduler }) => scheduler?.demandDelay(priority) ?? Number.POSITIVE_INFINITY,
+        ),
+      );
+    const refusal =
+      missingStages.length === 0
+        ? undefined
+        : PlanAdmission.checkStages(req, stageTime, queueDelay);
+    return refusal ?? this.checkEngines(req, stageTime + queueDelay(req.priority));
+  }
+
+  private static checkStages(
+    req: types.IPlanRequest,
+    stageTime: commonTypes.Millis,
+    queueDelay: (priority: number) => commonTypes.Millis,
+  ): types.PlanOutcome | undefined {
+    const remaining = stageTime + enginePlacer.EnginePlacer.typicalTimeToFirstToken;
+    const meetsGoal = queueDelay(req.priority) + remaining <= req.goalLeft;
+    const afterAllQueued = queueDelay(Number.POSITIVE_INFINITY) + remaining;
+    if (remaining > req.deadlineLeft) {
+      return { kind: 'refused', reason: 'too-late', retryAfter: MIN_RETRY_AFTER_MS };
+    }
+    if (meetsGoal || afterAllQueued <= req.deadlineLeft * LATE_ADMISSION_DEADLINE_RATIO) {
+      return undefined;
+    }
+    const retryAfter = Math.max(MIN_RETRY_AFTER_MS, req.deadlineLeft * RETRY_AFTER_DEADLINE_RATIO);
+    return { kind: 'refused', reason: 'overloaded', retryAfter };
+  }
+
+  /** Refuses a request for which the rate limits of all engines leave no room once its stages are complete. */
+  private checkEngines(
+    req: types.IPlanRequest,
+    stagesDoneIn: commonTypes.Millis,
+  ): types.PlanOutcome | undefined {
+    const placer = this.deps.placerOf(req.service);
+    const rate = placer?.rateLimit;
+    if (placer === undefined || rate === undefined) {
+      return undefined;
+    }
+    const before = this.deps.unplacedPlans(req.service, req.priority);
+    const placedIn = placer.limitDelay([]) + (before / rate) * 1000;
+    const timeLeft = Math.max(req.goalLeft, req.deadlineLeft * LATE_ADMISSION_DEADLINE_RATIO);
+    const maxWait = Math.min(MAX_ENGINE_WAIT_MS, timeLeft - stagesDoneIn);
+    const excess = placedIn - stagesDoneIn - maxWait;
+    return excess <= 0
+      ? undefined
+      : {
+          kind: 'refused',
+          reason: 'overloaded',
+          retryAfter: Math.max(MIN_RETRY_AFTER_MS, excess),
+        };
+  }
+}
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -2,6 +2,7 @@
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as placing from '../placing/Types.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
 
 /** Request for a plan: a caller's request that needs stages or a model engine. */
@@ -56,8 +57,11 @@
 export interface IPlanner {
   /** Plans a request. Resolves when its stages are complete and an engine is chosen, or when it is refused. */
   plan(req: IPlanRequest, onResult?: ResultListener): Promise<PlanOutcome>;
-  /** Chooses another engine for the same results, after the engine with the id `failed` could not run the request. */
-  reassign(planId: string, failed: string): Promise<PlanOutcome>;
+  /**
+   * Chooses another engine for the same results, after the engine with the id `failed` could not run the request;
+   * `isHealthy` if that engine only rejected it for its rate limit.
+   */
+  reassign(planId: string, failed: string, isHealthy: boolean): Promise<PlanOutcome>;
   /** Cancels a plan whose caller has left or that is no longer needed. */
   cancel(planId: string): void;
   /** Records that the engine has begun its answer, after which the plan's results are no longer needed. */
@@ -78,7 +82,13 @@
   /** Requests one state message, after which the stream is closed. */
   | { readonly kind: 'probe'; readonly vm: string }
   | { readonly kind: 'plan'; readonly plan: IPlanRequest }
-  | { readonly kind: 'again'; readonly planId: string; readonly failed: string }
+  | {
+      readonly kind: 'again';
+      readonly planId: string;
+      readonly failed: string;
+      /** Whether the engine only rejected the request for its rate limit; absent means false. */
+      readonly isHealthy?: boolean;
+    }
   | { readonly kind: 'cancel'; readonly planId: string }
   | { readonly kind: 'started'; readonly planId: string }
   | { readonly kind: 'ended'; readonly planId: string; readonly failed?: string }
@@ -86,6 +96,10 @@
   | { readonly kind: 'spare'; readonly records: readonly batching.IResultRecord[] }
   /** Endpoint list of the entry VM, for a coordinator that has not read one yet. */
   | { readonly kind: 'endpoints'; readonly list: routing.IEndpointList }
+  /** Rate limits that the entry VM has seen, where the coordinator may not know them. */
+  | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
+  /** Request for the permission to send one request to an endpoint that names a rate limit. */
+  | { readonly kind: 'permit'; readonly permitId: number; readonly endpointId: string }
   | { readonly kind: 'alive' };
 
 /** Message from a control VM to an entry VM. */
@@ -110,4 +124,7 @@
   | { readonly kind: 'endpoints'; readonly list: routing.IEndpointList }
   /** Results produced for plans of the entry VM, kept there in case the coordinator is lost. */
   | { readonly kind: 'made'; readonly made: readonly IPlanResult[] }
+  /** Rate limits that any VM has seen. */
+  | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
+  | { readonly kind: 'permit'; readonly answer: rateLimits.IPermitAnswer }
   | { readonly kind: 'planned'; readonly planId: string; readonly outcome: PlanOutcome };
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -35,8 +35,11 @@
 type AttemptOutcome =
   /** The request has ended: the response is complete, or the caller or the deadline ended it. */
   | { readonly kind: 'done' }
-  /** The engine did not execute the request; `inputsLost` if it reports that stage results are missing. */
-  | { readonly kind: 'not-run'; readonly inputsLost: boolean }
+  /**
+   * The engine did not execute the request; `inputsLost` if it reports that stage results are missing, `isLimited` if it
+   * names a rate limit.
+   */
+  | { readonly kind: 'not-run'; readonly inputsLost: boolean; readonly isLimited: boolean }
   /** The response is truncated or not authentic, or it is an error response after the stream had started. */
   | { readonly kind: 'cut' }
   /** The request was sent, at least in part, but no response arrived. */
@@ -108,7 +111,8 @@
   ): Promise<coordination.PlanOutcome> {
     const inputsLost = attempt.kind === 'not-run' && attempt.inputsLost;
     if (!inputsLost && !this.inputsReleased) {
-      return this.deps.planner.reassign(this.planId, endpoint.id);
+      const isHealthy = attempt.kind === 'not-run' && attempt.isLimited;
+      return this.deps.planner.reassign(this.planId, endpoint.id, isHealthy);
     }
     const failed = attempt.kind === 'not-run' ? undefined : endpoint.id;
     this.deps.planner.markEnded(this.planId, failed);
@@ -221,7 +225,7 @@
         return { kind: 'lost' };
       }
       this.executions -= 1;
-      return { kind: 'not-run', inputsLost: false };
+      return { kind: 'not-run', inputsLost: false, isLimited: false };
     } finally {
       unregister();
       scope.attemptsInFlight -= 1;
@@ -234,7 +238,7 @@
       this.executions -= 1;
       answer.body.resume();
       const inputsLost = !answer.isWrongEndpoint && answer.status === 409;
-      return { kind: 'not-run', inputsLost };
+      return { kind: 'not-run', inputsLost, isLimited: answer.namesRateLimit };
     }
     scope.mayHaveRun = true;
     if (!answer.isGenuine) {
--- a/src/gateway/FallbackPlanner.ts
+++ b/src/gateway/FallbackPlanner.ts
@@ -69,9 +69,9 @@
   }
 
   /** @inheritdoc */
-  reassign(planId: string, failed: string): Promise<coordination.PlanOutcome> {
+  reassign(planId: string, failed: string, isHealthy: boolean): Promise<coordination.PlanOutcome> {
     const planner = this.plannerByPlan.get(planId) ?? this.coordinator;
-    return planner.reassign(planId, failed);
+    return planner.reassign(planId, failed, isHealthy);
   }
 
   /** @inheritdoc */
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -5,6 +5,7 @@
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
 import * as virtualClock from '../common/testing/VirtualClock.js';
 import type * as coordination from '../coordination/Types.js';
+import * as unlimitedRateLimiter from '../ratelimit/testing/UnlimitedRateLimiter.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import * as gateways from './Gateway.js';
@@ -31,6 +32,7 @@
     isFramed: true,
     isNotRun: false,
     isWrongEndpoint: false,
+    namesRateLimit: false,
     load: undefined,
     body: stream.Readable.from([Buffer.from(body)]),
     isComplete: () => true,
@@ -161,12 +163,14 @@
       markEnded: () => {},
     };
     const limits = { ratio: 0.2, window: 10_000, slack: 100 };
+    const permits = new unlimitedRateLimiter.UnlimitedRateLimiter();
     gateway = new gateways.Gateway({
       clock,
       random,
       caller,
       planner,
-      balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a'),
+      permits,
+      balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       budget: new retryBudget.RetryBudget(limits, clock, () => 1),
       logService: new recordingLog.RecordingLogService(),
       metrics: new recordingMetrics.RecordingMetricsService(),
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,6 +1,7 @@
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as coordination from '../coordination/Types.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import * as routeIndex from '../routing/RouteIndex.js';
 import type * as routing from '../routing/Types.js';
 import * as plainRequestHandler from './PlainRequestHandler.js';
@@ -25,6 +26,7 @@
   readonly planner: coordination.IPlanner;
   readonly balancer: serviceBalancer.ServiceBalancer;
   readonly budget: retryBudget.RetryBudget;
+  readonly permits: rateLimits.IPermitService;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
   /** Returns the number of entry VMs in use, which divide the connections to each endpoint among them. */
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -1,5 +1,6 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
 import type * as requestScope from './RequestScope.js';
 import type * as retryBudget from './RetryBudget.js';
@@ -26,6 +27,7 @@
   readonly caller: types.IEndpointCaller;
   readonly balancer: serviceBalancer.ServiceBalancer;
   readonly budget: retryBudget.RetryBudget;
+  readonly permits: rateLimits.IPermitService;
   readonly logService: commonServices.ILogService;
   /** Maximum number of connections from this VM to one endpoint of a service. */
   readonly maxConnections: (service: string) => number;
@@ -112,8 +114,9 @@
     return mayExecute && (!usesBudget || deps.budget.take());
   }
 
-  private hasUntriedEndpoint(): boolean {
-    return this.deps.balancer.choose(this.scope.service, this.triedEndpoints) !== undefined;
+  private hasUntriedEndpoint(allowsLimited = true): boolean {
+    const { scope, deps, triedEndpoints: excluded } = this;
+    return deps.balancer.choose(scope.service, { excluded, allowsLimited }) !== undefined;
   }
 
   private answer(complete: ICompleteAnswer): void {
@@ -130,8 +133,10 @@
       return;
     }
     const rejection = scope.isNotRun ? 'overloaded' : 'endpoint-failed';
-    this.log('rejected', { rejection, last: outcome.kind });
-    scope.responder.reject(rejection, RETRY_AFTER_MS);
+    const limitDelay = this.deps.balancer.limitDelay(scope.service);
+    const retryAfter = Math.max(RETRY_AFTER_MS, limitDelay);
+    this.log('rejected', { rejection, last: outcome.kind, limitDelay: Math.round(limitDelay) });
+    scope.responder.reject(rejection, retryAfter);
     scope.finish();
   }
 
@@ -148,11 +153,12 @@
       medianLatency * HEDGE_LATENCY_FACTOR,
     );
     const isSlow = await this.isSlower(first, delay);
-    if (!isSlow || scope.isFinished || !this.hasUntriedEndpoint() || !deps.budget.take()) {
+    const mayHedge = isSlow && !scope.isFinished && this.executions < scope.route.maxExecutions;
+    if (!mayHedge || !this.hasUntriedEndpoint(false) || !deps.budget.take()) {
       return first;
     }
     this.log('hedged', { delay: Math.round(delay) });
-    return PlainRequestHandler.firstSuccess(first, this.attempt());
+    return PlainRequestHandler.firstSuccess(first, this.attempt(false));
   }
 
   /** Whether `first` is still unsettled after `delay`. */
@@ -182,13 +188,34 @@
     });
   }
 
-  /** Sends the request to one endpoint and reads its response. */
-  private async attempt(): Promise<Outcome> {
-    const { scope, deps } = this;
-    const endpoint = deps.balancer.choose(scope.service, this.triedEndpoints);
+  /** Chooses an endpoint that its rate limit allows, and sends the request there. */
+  private attempt(allowsLimited = true, refused: readonly string[] = []): Promise<Outcome> {
+    const { scope, deps, triedEndpoints } = this;
+    const excluded = [...triedEndpoints, ...refused];
+    const endpoint = deps.balancer.choose(scope.service, { excluded, allowsLimited });
     if (endpoint === undefined) {
-      return { kind: 'not-run' };
+      return Promise.resolve({ kind: 'not-run' });
+    }
+    const permit = deps.permits.acquire(endpoint.id);
+    if (permit === true) {
+      return this.sendTo(endpoint);
     }
+    return Promise.resolve(permit).then((isGranted) => {
+      if (scope.isFinished) {
+        return { kind: 'over' };
+      }
+      if (isGranted) {
+        return this.sendTo(endpoint);
+      }
+      const delay = Math.round(deps.permits.delayOf(endpoint.id));
+      this.log('endpoint-at-limit', { endpoint: endpoint.id, delay });
+      return this.attempt(allowsLimited, [...refused, endpoint.id]);
+    });
+  }
+
+  /** Sends the request to one endpoint and reads its response. */
+  private async sendTo(endpoint: routing.IEndpoint): Promise<Outcome> {
+    const { scope, deps } = this;
     this.triedEndpoints.push(endpoint.id);
     scope.attemptCount += 1;
     scope.attemptsInFlight += 1;
@@ -215,7 +242,7 @@
       if (answer.isNotRun) {
         this.executions -= 1;
         answer.body.resume();
-        recordEnd('refused');
+        recordEnd(answer.namesRateLimit ? 'limited' : 'refused');
         return { kind: 'not-run' };
       }
       scope.mayHaveRun = true;
--- a/src/gateway/ServiceBalancer.ts
+++ b/src/gateway/ServiceBalancer.ts
@@ -1,4 +1,5 @@
 import type * as commonTypes from '../common/Types.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import type * as types from './Types.js';
@@ -28,8 +29,10 @@
 interface IEndpointStats {
   /** Calls of this VM in progress. */
   running: number;
-  /** Moving average. */
+  /** Moving average; INITIAL_LATENCY_MS before the first response. */
   latency: commonTypes.Millis;
+  /** Whether the endpoint has responded to this VM. */
+  hasResponded: boolean;
   /** Moving average of failed calls, 0 to 1. */
   failureRate: number;
   /** Failures in a row that ejected the endpoint. */
@@ -43,9 +46,18 @@
 
 /**
  * Outcome of a call, as it reflects on its endpoint: `error` is a response with status 500 or above, `lost` no complete
- * and authentic response, `refused` a rejection without execution, `cancelled` a call that this VM abandoned.
+ * and authentic response, `refused` a rejection without execution, `limited` a rejection by an endpoint that names a rate
+ * limit, `cancelled` a call that this VM abandoned.
  */
-export type CallOutcome = 'ok' | 'error' | 'lost' | 'refused' | 'cancelled';
+export type CallOutcome = 'ok' | 'error' | 'lost' | 'refused' | 'limited' | 'cancelled';
+
+/** Restricts the choice of an endpoint. */
+export interface IChoiceOptions {
+  /** Ids of endpoints that are not chosen. */
+  readonly excluded: readonly string[];
+  /** Whether endpoints that name a rate limit are chosen; a hedged attempt leaves their rate to first attempts. */
+  readonly allowsLimited: boolean;
+}
 
 /**
  * Chooses an endpoint of a plain service by its average latency, the calls of this VM in progress there and its last
@@ -60,30 +72,44 @@
     private readonly clock: commonTypes.IClock,
     private readonly random: commonTypes.IRandom,
     private readonly availabilityZone: string,
+    private readonly permits: rateLimits.IPermitService,
   ) {
     directory.onChange(() => this.removeStale());
   }
 
   /**
-   * Returns the endpoint with the lowest cost whose id is not in `tried`; undefined if there is none. Uses ejected
-   * endpoints only if all are ejected.
+   * Returns the endpoint with the lowest cost; undefined if there is none. Uses ejected endpoints only if all others
+   * are ejected, and none whose rate limit allows no request now.
    */
-  choose(service: string, tried: readonly string[]): routing.IEndpoint | undefined {
+  choose(
+    service: string,
+    { excluded, allowsLimited }: IChoiceOptions,
+  ): routing.IEndpoint | undefined {
     const now = this.clock.monotonic();
     const untried = this.directory
       .ready(service)
-      .filter((endpoint) => !tried.includes(endpoint.id))
+      .filter(({ id }) => !excluded.includes(id) && this.permits.delayOf(id) === 0)
+      .filter(({ id }) => allowsLimited || !this.permits.isLimited(id))
       .map((endpoint) => ({ endpoint, stats: this.statsOf(endpoint.id) }));
     const healthy = untried.filter(({ stats }) => stats.ejectedUntil <= now);
     const candidates = healthy.length > 0 ? healthy : untried;
     const latencies = candidates.map(({ stats }) => stats.latency).sort((a, b) => a - b);
     const median = latencies[Math.floor((latencies.length - 1) / 2)] ?? INITIAL_LATENCY_MS;
     const ranked = candidates
-      .map(({ endpoint, stats }) => ({ endpoint, cost: this.cost(endpoint, stats, median, now) }))
+      .map(({ endpoint, stats }) => {
+        const latency = this.expectedLatency(endpoint, stats);
+        return { endpoint, cost: this.cost(endpoint, { ...stats, latency }, median, now) };
+      })
       .sort((a, b) => a.cost - b.cost);
     return ranked[0]?.endpoint;
   }
 
+  /** Time until the rate limits of a service's endpoints allow another request; 0 if they do now. */
+  limitDelay(service: string): commonTypes.Millis {
+    const delays = this.directory.ready(service).map(({ id }) => this.permits.delayOf(id));
+    return delays.length === 0 ? 0 : Math.min(...delays);
+  }
+
   /** Returns the median of the average latencies of a service's endpoints. */
   medianLatency(service: string): commonTypes.Millis {
     const latencies = this.directory
@@ -114,6 +140,9 @@
       stats.load = load;
       stats.loadAt = now;
     }
+    if (outcome === 'limited') {
+      return;
+    }
     if (outcome === 'cancelled') {
       // The call would have taken at least this long, so that the sample may only raise the average.
       stats.latency = Math.max(
@@ -123,6 +152,7 @@
       return;
     }
     if (outcome === 'ok' || outcome === 'error') {
+      stats.hasResponded = true;
       stats.latency += LATENCY_SAMPLE_WEIGHT * (took - stats.latency);
     }
     stats.failureRate += FAILURE_SAMPLE_WEIGHT * ((outcome === 'ok' ? 0 : 1) - stats.failureRate);
@@ -138,6 +168,23 @@
     }
   }
 
+  /**
+   * Average latency of an endpoint. One that names a rate limit gets so few requests that many VMs have none of its
+   * responses: it counts as fast as the other endpoints, so that the rate that it offers is used.
+   */
+  private expectedLatency(endpoint: routing.IEndpoint, stats: IEndpointStats): commonTypes.Millis {
+    if (stats.hasResponded || !this.permits.isLimited(endpoint.id)) {
+      return stats.latency;
+    }
+    const latencies = this.directory
+      .ready(endpoint.service)
+      .map(({ id }) => this.statsOf(id))
+      .filter(({ hasResponded }) => hasResponded)
+      .map(({ latency }) => latency)
+      .sort((a, b) => a - b);
+    return latencies[Math.floor((latencies.length - 1) / 2)] ?? stats.latency;
+  }
+
   /** Estimated latency in milliseconds, plus penalties for another zone and for slow endpoints, which rank last. */
   private cost(
     endpoint: routing.IEndpoint,
@@ -165,6 +212,7 @@
     const initial: IEndpointStats = {
       running: 0,
       latency: INITIAL_LATENCY_MS,
+      hasResponded: false,
       failureRate: 0,
       consecutiveEjections: 0,
       ejectedUntil: 0,
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -121,6 +121,8 @@
   readonly isNotRun: boolean;
   /** Whether the address now belongs to another endpoint, which rejected the request. */
   readonly isWrongEndpoint: boolean;
+  /** Whether the response names a rate limit, so that a rejection says nothing about the health of the endpoint. */
+  readonly namesRateLimit: boolean;
   /** Load report; undefined if the response has none. */
   readonly load: IEndpointLoad | undefined;
   readonly body: stream.Readable;
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -1,4 +1,5 @@
 import type * as commonTypes from '../common/Types.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as engineState from './EngineState.js';
 import * as promptCacheEstimate from './PromptCacheEstimate.js';
@@ -46,8 +47,8 @@
 /**
  * Chooses a model engine for each request of one service by the lowest cost in prompt tokens. The cost
  * favours engines that have the shared prompt parts cached, short queues, and inputs in the same
- * availability zone; engines that have failed are ejected for a while. Covers moderate load and the crash of
- * some engines.
+ * availability zone; engines that have failed are ejected for a while, and engines that name a rate limit get no more
+ * requests than it allows. Covers moderate load and the crash of some engines.
  *
  * @example
  * const endpoint = placer.place(req);
@@ -63,6 +64,7 @@
   constructor(
     private readonly clock: commonTypes.IClock,
     limits: routing.IEngineLimits,
+    private readonly rateLimiter: rateLimits.IEndpointRateLimiter,
   ) {
     this.limits = limits;
   }
@@ -86,24 +88,42 @@
 
   /**
    * Chooses an engine and counts the request there until `removeRequest`. Ejected and stalled engines are
-   * chosen only if there are no others. Returns undefined if no engine is left.
+   * chosen only if there are no others. Returns undefined if no engine is left, or none whose rate limit allows a
+   * request now.
    */
   place(req: IPlacementRequest): routing.IEndpoint | undefined {
     const now = this.clock.monotonic();
-    const engines = [...this.engines.values()].filter(
-      (engine) => !req.avoid.includes(engine.endpoint.id),
+    const engines = this.enginesExcept(req.avoid).filter(
+      ({ endpoint }) => this.rateLimiter.delayOf(endpoint.id) === 0,
     );
     const healthy = engines.filter(
       (engine) => engine.ejectedUntil <= now && !engine.isStalled(now),
     );
     const chosen = this.findCheapest(healthy.length > 0 ? healthy : engines, req);
-    if (chosen === undefined) {
+    if (chosen === undefined || !this.rateLimiter.take(chosen.endpoint.id)) {
       return undefined;
     }
     this.assign(chosen, req);
     return chosen.endpoint;
   }
 
+  /**
+   * Time until the rate limit of an engine allows a request, 0 if it does now; infinite if all engines are in `avoid`.
+   */
+  limitDelay(avoid: readonly string[]): commonTypes.Millis {
+    const delays = this.enginesExcept(avoid).map(({ endpoint }) =>
+      this.rateLimiter.delayOf(endpoint.id),
+    );
+    return Math.min(Number.POSITIVE_INFINITY, ...delays);
+  }
+
+  /** Requests per second that all engines together accept; undefined while there is one without a rate limit. */
+  get rateLimit(): number | undefined {
+    const rates = [...this.engines.keys()].map((id) => this.rateLimiter.rateOf(id));
+    const isUnlimited = rates.length === 0 || rates.includes(undefined);
+    return isUnlimited ? undefined : rates.reduce<number>((sum, rate) => sum + (rate ?? 0), 0);
+  }
+
   /** Records that the engine has read the request's prompt; repeated calls have no effect. */
   markStarted(planId: string): void {
     const placed = this.placedRequests.get(planId);
@@ -154,6 +174,10 @@
     return PREFILL_WINDOW_MS / 2;
   }
 
+  private enginesExcept(avoid: readonly string[]): readonly engineState.EngineState[] {
+    return [...this.engines.values()].filter(({ endpoint }) => !avoid.includes(endpoint.id));
+  }
+
   private assign(engine: engineState.EngineState, req: IPlacementRequest): void {
     this.removeRequest(req.planId);
     const tokens = engine.addRequest(req.prompt, this.clock.monotonic());
--- /dev/null
+++ b/src/ratelimit/EndpointPermits.ts
@@ -0,0 +1,109 @@
+import type * as commonTypes from '../common/Types.js';
+import type * as commonServices from '../common/services/Services.js';
+import type * as rateLimitTable from './RateLimitTable.js';
+import type * as types from './Types.js';
+
+/** Time after which a request for a permit that was not answered counts as refused. */
+const PERMIT_TIMEOUT_MS = 60;
+/** Time for which no permit is requested after one was not answered. */
+const UNANSWERED_PAUSE_MS = 500;
+/** Minimum time for which no permit is requested after a refusal. */
+const MIN_PAUSE_MS = 10;
+
+/** Components that permits use. */
+export interface IEndpointPermitsDependencies {
+  readonly table: rateLimitTable.RateLimitTable;
+  /** Limiter in use while no coordinator is connected. */
+  readonly local: types.IEndpointRateLimiter;
+  readonly link: types.ICoordinatorLink;
+  readonly clock: commonTypes.IClock;
+  readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
+}
+
+/**
+ * Permits of an entry VM. The coordinator grants each of them, so that the VMs keep a limit together and a VM with much
+ * demand gets what others do not need. Also exchanges the rate limits that VMs have seen with the coordinator.
+ */
+export class EndpointPermits implements types.IPermitService {
+  private readonly pending = new Map<number, (answer: types.IPermitAnswer | undefined) => void>();
+
+  /** Times on the monotonic clock before which no permit is requested, by endpoint. */
+  private readonly pausedUntil = new Map<string, commonTypes.Millis>();
+
+  private nextPermitId = 1;
+
+  /** Starts the exchange over the link. */
+  constructor(private readonly deps: IEndpointPermitsDependencies) {
+    const { table, link } = deps;
+    link.onCoordinatorFound(() => link.sendRateLimits(table.observations));
+    link.onPermit((answer) => this.pending.get(answer.permitId)?.(answer));
+    link.onRateLimits((observations) => {
+      const newer = table.merge(observations, 'coordinator');
+      if (newer.length > 0) {
+        link.sendRateLimits(newer);
+      }
+    });
+    table.onChange(({ endpointId, isOwn }) => {
+      this.pausedUntil.delete(endpointId);
+      const observation = table.observationOf(endpointId);
+      if (isOwn && observation !== undefined) {
+        link.sendRateLimits([observation]);
+      }
+    });
+  }
+
+  /** @inheritdoc */
+  isLimited(endpointId: string): boolean {
+    return this.deps.table.limitOf(endpointId) !== undefined;
+  }
+
+  /** @inheritdoc */
+  delayOf(endpointId: string): commonTypes.Millis {
+    const { local, link, clock } = this.deps;
+    if (!this.isLimited(endpointId)) {
+      return 0;
+    }
+    if (!link.isConnected) {
+      return local.delayOf(endpointId);
+    }
+    return Math.max(0, (this.pausedUntil.get(endpointId) ?? 0) - clock.monotonic());
+  }
+
+  /** @inheritdoc */
+  acquire(endpointId: string): boolean | Promise<boolean> {
+    const { local, link, metrics } = this.deps;
+    if (!this.isLimited(endpointId)) {
+      return true;
+    }
+    if (link.isConnected) {
+      return this.request(endpointId);
+    }
+    const isGranted = local.take(endpointId);
+    metrics.count('permits', { outcome: isGranted ? 'granted-locally' : 'refused-locally' });
+    return isGranted;
+  }
+
+  private async request(endpointId: string): Promise<boolean> {
+    const { link, clock, metrics } = this.deps;
+    const permitId = this.nextPermitId;
+    this.nextPermitId += 1;
+    const answer = await new Promise<types.IPermitAnswer | undefined>((resolve) => {
+      const timer = clock.setTimer(PERMIT_TIMEOUT_MS, () => resolve(undefined));
+      this.pending.set(permitId, (received) => {
+        timer.dispose();
+        resolve(received);
+      });
+      link.requestPermit(permitId, endpointId);
+    });
+    this.pending.delete(permitId);
+    if (answer?.isGranted === true) {
+      metrics.count('permits', { outcome: 'granted' });
+      return true;
+    }
+    const pause = answer === undefined ? UNANSWERED_PAUSE_MS : Math.max(MIN_PAUSE_MS, answer.delay);
+    metrics.count('permits', { outcome: answer === undefined ? 'unanswered' : 'refused' });
+    this.pausedUntil.set(endpointId, clock.monotonic() + pause);
+    return false;
+  }
+}
--- a/src/ratelimit/Types.ts
+++ b/src/ratelimit/Types.ts
@@ -30,3 +30,71 @@
   /** Records what a response says about the rate limit of its endpoint. */
   recordStatement(statement: IRateLimitStatement): void;
 }
+
+/**
+ * What a VM knows of the rate limit of one endpoint, as it tells other VMs. Times are ages, since the clocks of VMs
+ * differ.
+ */
+export interface IRateLimitObservation {
+  readonly endpointId: string;
+  /** Requests per second; null if the endpoint named a limit before and names none any longer. */
+  readonly limit: number | null;
+  /** Time since the request was sent whose response said so. */
+  readonly sentAge: commonTypes.Millis;
+  /** Time since that response arrived. */
+  readonly receivedAge: commonTypes.Millis;
+}
+
+/** A change of what a VM knows of the rate limit of an endpoint. */
+export interface IRateLimitChange {
+  readonly endpointId: string;
+  /** Whether a response to this VM stated it, rather than another VM. */
+  readonly isOwn: boolean;
+}
+
+/** Limits the calls to endpoints that name a rate limit. */
+export interface IEndpointRateLimiter {
+  /** Calls per second that may be sent to an endpoint; undefined if they are not limited. */
+  rateOf(endpointId: string): number | undefined;
+  /** Time until a call may be sent to an endpoint; 0 if one may be sent now. */
+  delayOf(endpointId: string): commonTypes.Millis;
+  /** Takes the permission for one call; returns false, and takes nothing, if no call may be sent now. */
+  take(endpointId: string): boolean;
+}
+
+/** Permissions to send requests to endpoints that name a rate limit, for an entry VM that chooses endpoints itself. */
+export interface IPermitService {
+  /** Whether an endpoint names a rate limit. */
+  isLimited(endpointId: string): boolean;
+  /** Time until it makes sense to request a permit for an endpoint; 0 for now. */
+  delayOf(endpointId: string): commonTypes.Millis;
+  /**
+   * Requests the permission for one request; at once for an endpoint without a limit. After a refusal, `delayOf` is
+   * above 0 for a while.
+   */
+  acquire(endpointId: string): boolean | Promise<boolean>;
+}
+
+/** Answer of the coordinator to a request for a permit. */
+export interface IPermitAnswer {
+  readonly permitId: number;
+  readonly isGranted: boolean;
+  /** Time until the coordinator may grant a permit for the endpoint. */
+  readonly delay: commonTypes.Millis;
+}
+
+/** Connection of an entry VM to the coordinator, as far as rate limits are concerned. */
+export interface ICoordinatorLink {
+  /** Whether a coordinator is connected. */
+  readonly isConnected: boolean;
+  /** Fires when a coordinator is found, before any other message to it. */
+  readonly onCoordinatorFound: commonTypes.IEvent<void>;
+  /** Fires for each answer to a request for a permit. */
+  readonly onPermit: commonTypes.IEvent<IPermitAnswer>;
+  /** Fires for the observations that a control VM sends. */
+  readonly onRateLimits: commonTypes.IEvent<readonly IRateLimitObservation[]>;
+  /** Requests a permit; has no effect while no coordinator is connected. */
+  requestPermit(permitId: number, endpointId: string): void;
+  /** Sends observations; has no effect while no coordinator is connected. */
+  sendRateLimits(observations: readonly IRateLimitObservation[]): void;
+}
