--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -5,7 +5,7 @@
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
 import * as virtualClock from '../common/testing/VirtualClock.js';
 import type * as coordination from '../coordination/Types.js';
-import * as unlimitedRateLimiter from '../ratelimit/testing/UnlimitedRateLimiter.js';
+import type * as rateLimits from '../ratelimit/Types.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import * as gateways from './Gateway.js';
@@ -15,6 +15,36 @@
 
 const { beforeEach, describe, expect, test } = vitest;
 
+/** Permits for endpoints whose limits a test sets: the number of permits left, or none for an unlimited endpoint. */
+class FakePermits implements rateLimits.IPermitService {
+  readonly left = new Map<string, number>();
+
+  /** Time until the next permit, once one was refused. */
+  delay = 700;
+
+  private readonly refused = new Set<string>();
+
+  isLimited(endpointId: string): boolean {
+    return this.left.has(endpointId);
+  }
+
+  delayOf(endpointId: string): number {
+    return this.refused.has(endpointId) ? this.delay : 0;
+  }
+
+  acquire(endpointId: string): boolean | Promise<boolean> {
+    const left = this.left.get(endpointId);
+    if (left === undefined) {
+      return true;
+    }
+    this.left.set(endpointId, Math.max(0, left - 1));
+    if (left === 0) {
+      this.refused.add(endpointId);
+    }
+    return Promise.resolve(left > 0);
+  }
+}
+
 /** Decides how the fake endpoint responds to a call; `silent` leaves the call open. */
 type ReplyFn = (
   call: types.IEndpointCall,
@@ -110,6 +140,7 @@
   let gateway: gateways.Gateway;
   let calls: types.IEndpointCall[];
   let cancelCount: number;
+  let permits: FakePermits;
   let reply: ReplyFn;
   let plans: coordination.IPlanRequest[];
   let planOutcomes: coordination.PlanOutcome[];
@@ -163,7 +194,7 @@
       markEnded: () => {},
     };
     const limits = { ratio: 0.2, window: 10_000, slack: 100 };
-    const permits = new unlimitedRateLimiter.UnlimitedRateLimiter();
+    permits = new FakePermits();
     gateway = new gateways.Gateway({
       clock,
       random,
@@ -315,6 +346,67 @@
     expect(responder.outcome).toBe('too-late');
   });
 
+  test('sends a request elsewhere when an endpoint has no permit left', async () => {
+    reply = () => answerOf(200, 'ok');
+    ['e1', 'e2'].forEach((id) => permits.left.set(id, 0));
+    for (let count = 0; count < 10; count++) {
+      expect((await request('/write/x')).text).toBe('ok');
+    }
+    expect(new Set(calls.map((call) => call.endpoint.id))).toEqual(new Set(['e3']));
+  });
+
+  test('sends no more requests to an endpoint than it has permits, retries included', async () => {
+    reply = () => answerOf(500, 'no');
+    ['e1', 'e2', 'e3'].forEach((id) => permits.left.set(id, 2));
+    for (let count = 0; count < 6; count++) {
+      await request('/read/x');
+    }
+    ['e1', 'e2', 'e3'].forEach((id) =>
+      expect(calls.filter((call) => call.endpoint.id === id)).toHaveLength(2),
+    );
+  });
+
+  test('rejects a request at once, with the time until the next permit, when there is none', async () => {
+    reply = () => answerOf(200, 'ok');
+    ['e1', 'e2', 'e3'].forEach((id) => permits.left.set(id, 0));
+    const responder = await request('/write/x', 0);
+    expect(responder).toMatchObject({ outcome: 'overloaded', retryAfter: 700 });
+    expect(calls).toEqual([]);
+  });
+
+  test('leaves the permits of limited endpoints to first attempts, not to hedged ones', async () => {
+    reply = () => 'silent';
+    ['e1', 'e2', 'e3'].forEach((id) => permits.left.set(id, 10));
+    await request('/read/x');
+    expect(calls).toHaveLength(1);
+  });
+
+  test('does not eject an endpoint that rejects a request because of its rate limit', async () => {
+    reply = ({ endpoint: { id } }) =>
+      id === 'e1'
+        ? answerOf(503, '', { isNotRun: true, namesRateLimit: true })
+        : answerOf(200, 'ok');
+    ['e2', 'e3'].forEach((id) => permits.left.set(id, 0));
+    await request('/write/x', 100);
+    await request('/write/x', 100);
+    expect(calls.map((call) => call.endpoint.id)).toEqual(['e1', 'e1']);
+  });
+
+  test('sends nothing when the caller disconnects before the permit comes', async () => {
+    reply = () => answerOf(200, 'ok');
+    let grant: (isGranted: boolean) => void = () => {};
+    permits.acquire = () =>
+      new Promise((resolve) => {
+        grant = resolve;
+      });
+    const responder = await request('/write/x', 0);
+    responder.disconnect();
+    grant(true);
+    await clock.advance(100);
+    expect(calls).toEqual([]);
+    expect(gateway.openRequests).toBe(0);
+  });
+
   test('ignores a configuration that is older than the one in force', () => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
     gateway.configure({ version: 1, routes: [], services: new Map(), limits });
--- a/src/ratelimit/EndpointPermits.ts
+++ b/src/ratelimit/EndpointPermits.ts
@@ -17,7 +17,6 @@
   readonly local: types.IEndpointRateLimiter;
   readonly link: types.ICoordinatorLink;
   readonly clock: commonTypes.IClock;
-  readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
 }
 
--- a/src/ratelimit/RateLimiters.test.ts
+++ b/src/ratelimit/RateLimiters.test.ts
@@ -27,12 +27,13 @@
   duration: number,
 ): Promise<readonly number[]> {
   const times: number[] = [];
+  const takeFrom = (limiter: types.IEndpointRateLimiter): void => {
+    while (limiter.take('e')) {
+      times.push(clock.monotonic());
+    }
+  };
   for (let time = 0; time < duration; time += STEP_MS) {
-    limiters.forEach((limiter) => {
-      while (times.length < 100_000 && limiter.take('e')) {
-        times.push(clock.monotonic());
-      }
-    });
+    limiters.forEach(takeFrom);
     await clock.advance(STEP_MS);
   }
   return times;
