Report a stable number of entry VMs while they change coordinators

Entry VMs divide the retry budget, the connections to an endpoint and now the local share of a rate limit by the number of entry VMs. Cause: that number was the count of open feed sessions of the coordinator. A new one starts at 1, so that each VM took the whole retry slack (64 x 0.6) in place of a twelfth until all had connected. Probes counted too.

Evidence: Feed.test.ts over gRPC, three VMs and a second leader. A VM tells the count that it knows when it connects, and the highest of the last 10 s holds on both sides (RecentMaximum), so that a VM which restarts beside a new coordinator learns it as well. Sessions are counted by VM, without probes.

--- /dev/null
+++ b/src/coordination/Feed.test.ts
@@ -0,0 +1,143 @@
+import * as grpc from '@grpc/grpc-js';
+import * as vitest from 'vitest';
+import * as seededRandom from '../common/SeededRandom.js';
+import * as systemClock from '../common/SystemClock.js';
+import * as recordingLog from '../common/testing/RecordingLogService.js';
+import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
+import * as documentState from '../control/document/DocumentState.js';
+import type * as controlTypes from '../control/Types.js';
+import * as rateLimitTable from '../ratelimit/RateLimitTable.js';
+import * as sharedRateLimiter from '../ratelimit/SharedRateLimiter.js';
+import * as unlimitedRateLimiter from '../ratelimit/testing/UnlimitedRateLimiter.js';
+import * as endpointDirectory from '../routing/EndpointDirectory.js';
+import * as coordinators from './Coordinator.js';
+import * as feedClient from './FeedClient.js';
+import * as feedServer from './FeedServer.js';
+
+const { afterEach, expect, test } = vitest;
+const POLL_INTERVAL_MS = 10;
+const clock = new systemClock.SystemClock();
+const logService = new recordingLog.RecordingLogService();
+const metrics = new recordingMetrics.RecordingMetricsService();
+const disposables: { dispose(): void }[] = [];
+
+/** A control VM that leads its group, with its feed on a loopback port. */
+interface ILeader {
+  readonly address: string;
+  readonly table: rateLimitTable.RateLimitTable;
+  stop(): void;
+}
+
+async function startLeader(): Promise<ILeader> {
+  const server = new grpc.Server();
+  const status = { role: 'leader', term: 1, members: [], id: 'c', leaderId: 'c' };
+  const log = {
+    status: () => status as unknown as controlTypes.IReplicaStatus,
+    onLeadership: () => ({ dispose: () => {} }),
+  } as unknown as controlTypes.IReplicatedLog;
+  const directory = new endpointDirectory.EndpointDirectory();
+  directory.replace({ revision: 1, endpoints: [] });
+  const table = new rateLimitTable.RateLimitTable({ clock, logService, metrics });
+  const coordinator = new coordinators.Coordinator({
+    clock,
+    caller: { run: async () => [], free: async () => true },
+    directory,
+    rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
+    logService,
+    metrics,
+  });
+  const feed = new feedServer.FeedServer(server, {
+    log,
+    document: new documentState.DocumentState(),
+    directory,
+    coordinator,
+    rateLimitTable: table,
+    rateLimiter: new sharedRateLimiter.SharedRateLimiter(table, clock, () => true),
+    clock,
+    logService,
+  });
+  const port = await new Promise<number>((resolve, reject) => {
+    server.bindAsync('127.0.0.1:0', grpc.ServerCredentials.createInsecure(), (err, bound) =>
+      err === null ? resolve(bound) : reject(err),
+    );
+  });
+  const stop = (): void => {
+    feed.dispose();
+    coordinator.dispose();
+    server.forceShutdown();
+  };
+  disposables.push({ dispose: stop });
+  return { address: `127.0.0.1:${port}`, table, stop };
+}
+
+function startClient(vm: string, seeds: () => readonly string[]): feedClient.FeedClient {
+  const client = new feedClient.FeedClient({
+    clock,
+    random: new seededRandom.SeededRandom(1),
+    logService,
+    metrics,
+    seeds,
+    vm,
+    endpoints: () => ({ revision: 1, endpoints: [] }),
+  });
+  client.start();
+  disposables.push(client);
+  return client;
+}
+
+async function until(check: () => boolean): Promise<void> {
+  while (!check()) {
+    await clock.sleep(POLL_INTERVAL_MS);
+  }
+}
+
+afterEach(() => {
+  disposables.splice(0).forEach((each) => each.dispose());
+});
+
+test('a new coordinator does not make VMs believe that they are few, so that each takes a larger share', async () => {
+  const first = await startLeader();
+  const second = await startLeader();
+  let seeds = [first.address];
+  const clients = ['a', 'b', 'c'].map((vm) => startClient(vm, () => seeds));
+  await until(() => clients.every(({ entryCount }) => entryCount === 3));
+  const counts: number[] = [];
+  clients.forEach((client) => client.onCoordinatorFound(() => counts.push(client.entryCount)));
+  seeds = [second.address];
+  first.stop();
+  await until(() => counts.length === 3);
+  expect(counts).toEqual([3, 3, 3]);
+  // A restarted VM knows no count of its own.
+  const restarted = startClient('d', () => seeds);
+  await until(() => restarted.isConnected);
+  expect(restarted.entryCount).toBeGreaterThanOrEqual(3);
+});
+
+test('a rate limit that one VM saw reaches the others, and each new coordinator', async () => {
+  const first = await startLeader();
+  const second = await startLeader();
+  let seeds = [first.address];
+  const [a, b] = ['a', 'b'].map((vm) => startClient(vm, () => seeds)) as [
+    feedClient.FeedClient,
+    feedClient.FeedClient,
+  ];
+  const tables = [a, b].map((client) => {
+    const table = new rateLimitTable.RateLimitTable({ clock, logService, metrics });
+    client.onRateLimits((observations) => table.merge(observations, 'coordinator'));
+    client.onCoordinatorFound(() => client.sendRateLimits(table.observations));
+    return table;
+  });
+  await until(() => a.isConnected && b.isConnected);
+  a.sendRateLimits([{ endpointId: 'e', limit: 2, sentAge: 20, receivedAge: 10 }]);
+  await until(() => tables.every((table) => table.limitOf('e') === 2));
+  seeds = [second.address];
+  first.stop();
+  await until(() => second.table.limitOf('e') === 2);
+  const answers: boolean[] = [];
+  b.onPermit(({ isGranted }) => answers.push(isGranted));
+  await until(() => b.isConnected);
+  b.requestPermit(1, 'e');
+  b.requestPermit(2, 'other');
+  await until(() => answers.length === 2);
+  expect(answers).toEqual([false, true]);
+});
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -1,4 +1,5 @@
 import * as emitter from '../common/Emitter.js';
+import * as recentMaximum from '../common/RecentMaximum.js';
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
@@ -24,6 +25,8 @@
 const KEEPALIVE_INTERVAL_MS = 1000;
 /** A connection to a control VM that names no leader is closed after this time, and the next address is tried. */
 const LEADERLESS_TIMEOUT_MS = 600;
+/** Time for which the highest count of entry VMs holds; a new coordinator counts few until all have found it. */
+const ENTRY_COUNT_WINDOW_MS = 10_000;
 
 /** Components and callbacks that a feed client uses. */
 export interface IFeedClientDependencies extends leaderSearch.ILeaderSearchDependencies {
@@ -63,7 +66,7 @@
 
   private isSearching = false;
 
-  private reportedEntryCount = 1;
+  private readonly reportedEntryCount: recentMaximum.RecentMaximum;
 
   private addressIndex: number;
 
@@ -112,6 +115,7 @@
     this.addressIndex = deps.random.nextInt(64);
     this.disconnectedAt = deps.clock.monotonic();
     this.held = new heldResults.HeldResults(deps.clock);
+    this.reportedEntryCount = new recentMaximum.RecentMaximum(deps.clock, ENTRY_COUNT_WINDOW_MS);
     this.search = new leaderSearch.LeaderSearch(deps);
   }
 
@@ -130,9 +134,9 @@
     return this.hasCoordinator ? 0 : this.deps.clock.monotonic() - this.disconnectedAt;
   }
 
-  /** Number of entry VMs connected to the control VM, from its last state message; at least 1. */
+  /** Number of entry VMs, as control VMs reported it lately; at least 1. */
   get entryCount(): number {
-    return this.reportedEntryCount;
+    return Math.max(1, this.reportedEntryCount.value);
   }
 
   /** @inheritdoc */
@@ -260,7 +264,7 @@
     );
     this.connection = connection;
     this.sessionNumber += 1;
-    connection.write({ kind: 'hello', vm, version: this.version });
+    connection.write({ kind: 'hello', vm, version: this.version, entries: this.entryCount });
     let lastKeepaliveAt = clock.monotonic();
     while (connection.endReason === undefined && !this.stopController.signal.aborted) {
       await clock.sleep(RETRY_INTERVAL_MS, this.stopController.signal).catch(() => {});
@@ -354,7 +358,7 @@
 
   private handleState(state: types.DownMessage & { kind: 'state' }, address: string): void {
     this.search.updateMembers(state.members);
-    this.reportedEntryCount = Math.max(1, state.entries);
+    this.reportedEntryCount.record(state.entries);
     const isFound = state.leads && !this.hasCoordinator;
     if (isFound) {
       this.deps.logService.info('coordinator-found', { address, term: state.term });
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -1,5 +1,6 @@
 import type * as grpc from '@grpc/grpc-js';
 import type * as batching from '../batching/Types.js';
+import * as recentMaximum from '../common/RecentMaximum.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as documentState from '../control/document/DocumentState.js';
@@ -28,6 +29,8 @@
 const RESULT_BATCH_INTERVAL_MS = 10;
 /** A control VM that has known no leader for this long sends entry VMs the configuration that it holds. */
 const LEADERLESS_TIMEOUT_MS = 1500;
+/** Time for which the highest number of entry VMs is reported, so that it does not fall while they change connections. */
+const ENTRY_COUNT_WINDOW_MS = 10_000;
 
 interface ISession {
   readonly stream: Stream;
@@ -68,12 +71,15 @@
 
   private leaderSeenAt: commonTypes.Millis;
 
+  private readonly recentEntryCount: recentMaximum.RecentMaximum;
+
   /** Registers the feed service at `server` and starts to send the state to entry VMs at a fixed interval. */
   constructor(
     server: grpc.Server,
     private readonly deps: IFeedServerDependencies,
   ) {
     this.leaderSeenAt = deps.clock.monotonic();
+    this.recentEntryCount = new recentMaximum.RecentMaximum(deps.clock, ENTRY_COUNT_WINDOW_MS);
     server.addService(feedCodec.FEED_SERVICE, {
       open: (stream: Stream) => this.openSession(stream),
     });
@@ -98,7 +104,8 @@
 
   /** Number of connected entry VMs. */
   get entryCount(): number {
-    return this.sessions.size;
+    const names = [...this.sessions].map(({ vm }) => vm).filter((vm) => vm !== '');
+    return new Set(names).size;
   }
 
   /** @inheritdoc */
@@ -174,6 +181,7 @@
     };
     switch (message.kind) {
       case 'hello':
+        this.recentEntryCount.record(message.entries ?? 0);
         this.handleHello(session, message.vm, message.version);
         break;
       case 'probe':
@@ -316,12 +324,13 @@
       term,
       ...(leader === undefined ? {} : { leader }),
       members: members.map((member) => member.address),
-      entries: this.sessions.size,
+      entries: Math.max(this.entryCount, this.recentEntryCount.value),
     };
   }
 
   private broadcastState(): void {
     this.refreshRole();
+    this.recentEntryCount.record(this.entryCount);
     this.broadcast(this.buildState());
     this.broadcastDocument();
   }
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -78,7 +78,13 @@
 
 /** Message from an entry VM to a control VM. */
 export type UpMessage =
-  | { readonly kind: 'hello'; readonly vm: string; readonly version: number }
+  | {
+      readonly kind: 'hello';
+      readonly vm: string;
+      readonly version: number;
+      /** Number of entry VMs that it knows of; absent means unknown. */
+      readonly entries?: number;
+    }
   /** Requests one state message, after which the stream is closed. */
   | { readonly kind: 'probe'; readonly vm: string }
   | { readonly kind: 'plan'; readonly plan: IPlanRequest }
@@ -117,7 +123,7 @@
       readonly leader?: string;
       /** Feed addresses (`ip:port`) of all group members known to the sender. */
       readonly members: readonly string[];
-      /** Number of entry VMs connected to the sender. */
+      /** Number of entry VMs that were connected to the sender lately, or that one of them knew of. */
       readonly entries: number;
     }
   | { readonly kind: 'document'; readonly version: number; readonly text: string }
