Start the rate limit buckets of a new coordinator empty

Cause: a control VM keeps its buckets while it does not coordinate, and they fill meanwhile. Each change of coordinator could add up to 2 + N/8 calls to those that the predecessor had granted; five changes in 4 s would exceed a limit of 1 a second. RateLimiters.test.ts, 'does not save up calls before its VM coordinates', failed before (a call was granted at once), 31 passed now.

--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -118,6 +118,13 @@
       clock,
       () => log.status().role === 'leader',
     );
+    disposables.add(
+      log.onLeadership((leads) => {
+        if (leads) {
+          rateLimiter.reset();
+        }
+      }),
+    );
     directory.onChange(({ endpoints }) => limits.retain(new Set(endpoints.map(({ id }) => id))));
     const coordinator = disposables.add(
       new coordinators.Coordinator({ clock, caller, directory, rateLimiter, logService, metrics }),
--- a/src/ratelimit/RateLimiters.test.ts
+++ b/src/ratelimit/RateLimiters.test.ts
@@ -112,6 +112,17 @@
     },
   );
 
+  it('does not save up calls before its VM coordinates', async () => {
+    isConfirmed = false;
+    const limiter = makeLimiter();
+    name(4);
+    await clock.advance(60_000);
+    isConfirmed = true;
+    limiter.reset();
+    expect(limiter.take('e')).toBe(false);
+    expect(limiter.delayOf('e')).toBe(250);
+  });
+
   it('follows a limit that falls, rises and is lifted', async () => {
     const limiter = makeLimiter();
     name(4);
--- a/src/ratelimit/SharedRateLimiter.ts
+++ b/src/ratelimit/SharedRateLimiter.ts
@@ -49,6 +49,13 @@
     return this.buckets.get(endpointId)?.take() ?? true;
   }
 
+  /** Empties all buckets; called when this VM becomes the coordinator, because its predecessor granted calls until then. */
+  reset(): void {
+    const endpointIds = [...this.buckets.keys()];
+    this.buckets.clear();
+    endpointIds.forEach((endpointId) => this.followTable(endpointId));
+  }
+
   private followTable(endpointId: string): void {
     if (this.table.limitOf(endpointId) === undefined) {
       this.buckets.delete(endpointId);
