Place plans that wait for a limited engine as soon as the first of them can be

Cause: the queue kept the timer of the first plan, so that a plan which may use another engine, or one after a limit rose, waited as long as the first. Found by reading.

--- a/src/coordination/PlacementQueue.ts
+++ b/src/coordination/PlacementQueue.ts
@@ -9,11 +9,16 @@
   readonly goalAt: commonTypes.Millis;
 }
 
+interface IServiceTimer {
+  readonly dueAt: commonTypes.Millis;
+  readonly timer: commonTypes.IDisposable;
+}
+
 /** Plans that wait until the rate limit of an engine allows another request; the most urgent plan goes first. */
 export class PlacementQueue implements commonTypes.IDisposable {
   private readonly plans = new Map<string, IWaitingPlan>();
 
-  private readonly timers = new Map<string, commonTypes.IDisposable>();
+  private readonly timers = new Map<string, IServiceTimer>();
 
   /** `place` places a plan, or adds it again. */
   constructor(
@@ -25,13 +30,17 @@
   add(planId: string, plan: IWaitingPlan, delay: commonTypes.Millis): void {
     const { service } = plan;
     this.plans.set(planId, plan);
-    if (!this.timers.has(service)) {
-      const timer = this.clock.setTimer(delay, () => {
-        this.timers.delete(service);
-        this.placeNext(service);
-      });
-      this.timers.set(service, timer);
+    const dueAt = this.clock.monotonic() + delay;
+    const present = this.timers.get(service);
+    if (present !== undefined && present.dueAt <= dueAt) {
+      return;
     }
+    present?.timer.dispose();
+    const timer = this.clock.setTimer(delay, () => {
+      this.timers.delete(service);
+      this.placeNext(service);
+    });
+    this.timers.set(service, { dueAt, timer });
   }
 
   /** Removes a plan; unknown ids are ignored. */
@@ -41,7 +50,7 @@
 
   /** @inheritdoc */
   dispose(): void {
-    this.timers.forEach((timer) => timer.dispose());
+    this.timers.forEach(({ timer }) => timer.dispose());
     this.plans.clear();
   }
 
