Count the refusals and retries of requests that reach a handler

Cause: only rejections before the handlers were counted, so that the metrics said nothing of refusals for lack of permits or engines. Gateway.test.ts, 'counts each refusal, retry and hedged attempt', failed before (no counter at all); 18 passed.

--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -27,6 +27,7 @@
   readonly planner: coordination.IPlanner;
   readonly budget: retryBudget.RetryBudget;
   readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
   /** Maximum number of connections from this VM to one endpoint of a service. */
   readonly maxConnections: (service: string) => number;
 }
@@ -99,6 +100,7 @@
         this.fail(attempt);
         return;
       }
+      deps.metrics.count('retry', { reason: attempt.kind });
       outcome = await this.chooseNextEngine(attempt, endpoint, avoid);
     }
   }
@@ -177,9 +179,9 @@
     if (scope.responseStarted) {
       scope.responder.abort();
     } else if (scope.isNotRun) {
-      scope.responder.reject(reason === 'lost' ? 'overloaded' : reason, retryAfter);
+      this.reject(reason === 'lost' ? 'overloaded' : reason, retryAfter);
     } else {
-      scope.responder.reject('endpoint-failed');
+      this.reject('endpoint-failed');
     }
     scope.finish();
   }
@@ -190,11 +192,16 @@
     if (scope.responseStarted) {
       scope.responder.abort();
     } else {
-      scope.responder.reject(scope.isNotRun ? 'overloaded' : 'endpoint-failed', REPLAN_DELAY_MS);
+      this.reject(scope.isNotRun ? 'overloaded' : 'endpoint-failed', REPLAN_DELAY_MS);
     }
     scope.finish();
   }
 
+  private reject(rejection: types.Rejection, retryAfter?: commonTypes.Millis): void {
+    this.deps.metrics.count('refused', { reason: rejection });
+    this.scope.responder.reject(rejection, retryAfter);
+  }
+
   /** Sends the request to one engine and relays its response. */
   private async attempt(
     endpoint: routing.IEndpoint,
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -141,6 +141,7 @@
   let calls: types.IEndpointCall[];
   let cancelCount: number;
   let permits: FakePermits;
+  let metrics: recordingMetrics.RecordingMetricsService;
   let reply: ReplyFn;
   let plans: coordination.IPlanRequest[];
   let planOutcomes: coordination.PlanOutcome[];
@@ -195,6 +196,7 @@
     };
     const limits = { ratio: 0.2, window: 10_000, slack: 100 };
     permits = new FakePermits();
+    metrics = new recordingMetrics.RecordingMetricsService();
     gateway = new gateways.Gateway({
       clock,
       random,
@@ -204,7 +206,7 @@
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       budget: new retryBudget.RetryBudget(limits, clock, () => 1),
       logService: new recordingLog.RecordingLogService(),
-      metrics: new recordingMetrics.RecordingMetricsService(),
+      metrics,
       entryVmCount: () => 1,
     });
     directory.replace({ revision: 1, endpoints: [endpoint('e1'), endpoint('e2'), endpoint('e3')] });
@@ -407,6 +409,22 @@
     expect(gateway.openRequests).toBe(0);
   });
 
+  test('counts each refusal, retry and hedged attempt with its reason', async () => {
+    const counted = (): Record<string, number> => Object.fromEntries(metrics.counters);
+    reply = () => answerOf(503, '', { isNotRun: true });
+    await request('/write/x');
+    expect(counted()).toEqual({ 'refused{reason=overloaded}': 1, 'retry{reason=not-run}': 2 });
+    metrics.counters.clear();
+    calls = [];
+    reply = () => (calls.length === 1 ? 'silent' : answerOf(200, 'ok'));
+    await request('/read/x');
+    expect(counted()).toEqual({ 'retry{reason=hedged}': 1 });
+    metrics.counters.clear();
+    planOutcomes = [{ kind: 'refused', reason: 'too-late', retryAfter: 700 }];
+    await request('/chat/x');
+    expect(counted()).toEqual({ 'refused{reason=too-late}': 1 });
+  });
+
   test('ignores a configuration that is older than the one in force', () => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
     gateway.configure({ version: 1, routes: [], services: new Map(), limits });
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -29,6 +29,7 @@
   readonly budget: retryBudget.RetryBudget;
   readonly permits: rateLimits.IPermitService;
   readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
   /** Maximum number of connections from this VM to one endpoint of a service. */
   readonly maxConnections: (service: string) => number;
 }
@@ -91,6 +92,7 @@
         this.giveUp(outcome);
         return;
       }
+      deps.metrics.count('retry', { reason: outcome.kind });
     }
   }
 
@@ -136,6 +138,7 @@
     const limitDelay = this.deps.balancer.limitDelay(scope.service);
     const retryAfter = Math.max(RETRY_AFTER_MS, limitDelay);
     this.log('rejected', { rejection, last: outcome.kind, limitDelay: Math.round(limitDelay) });
+    this.deps.metrics.count('refused', { reason: rejection });
     scope.responder.reject(rejection, retryAfter);
     scope.finish();
   }
@@ -158,6 +161,7 @@
       return first;
     }
     this.log('hedged', { delay: Math.round(delay) });
+    deps.metrics.count('retry', { reason: 'hedged' });
     return PlainRequestHandler.firstSuccess(first, this.attempt(false));
   }
 
