Remove the idle error listener when a connection is used again

Cause: KeepAliveAgent overrides reuseSocket without calling Node's own, which takes off the listener that an idle connection gets. Each request on a kept connection left one behind, as long as the connection lived; callers saw nothing.

--- a/src/gateway/KeepAliveAgent.ts
+++ b/src/gateway/KeepAliveAgent.ts
@@ -52,12 +52,12 @@
   }
 
   /** Removes the idle handling from a connection before its next request; called by Node. */
-  override reuseSocket(socket: stream.Duplex): void {
+  override reuseSocket(socket: stream.Duplex, req: http.ClientRequest): void {
+    super.reuseSocket(socket, req);
     const agentSocket = socket as AgentSocket;
     agentSocket.removeListener('data', closeOnData);
     agentSocket.setTimeout(0);
     agentSocket.removeAllListeners('timeout');
-    agentSocket.ref();
   }
 
   private static idleTimeoutOf(socket: AgentSocket): commonTypes.Millis {
