--- a/src/batching/StageScheduler.ts
+++ b/src/batching/StageScheduler.ts
@@ -184,35 +184,25 @@
     const unblocked = [...this.replicas.values()].filter(
       (replica) => replica.remainingBlock(now) === 0,
     );
-    const slowdowns = unblocked.map((replica) => this.effectiveSlowdown(replica));
+    const { rateLimiter } = this.dependencies;
+    const slowdowns = unblocked.map((replica) =>
+      replicaChoice.effectiveSlowdown(replica, this.limits, rateLimiter),
+    );
     return this.throughput.estimate(slowdowns, this.limits);
   }
 
-  /** Slowdown of an endpoint; at least such that its full calls take the time between two calls of its rate limit. */
-  private effectiveSlowdown({ endpoint, slowdown }: stageReplica.StageReplica): number {
-    const rate = this.dependencies.rateLimiter.rateOf(endpoint.id);
-    const { callCost, itemCost, maxItemsPerCall } = this.limits;
-    const fullCallTime = callCost + itemCost * maxItemsPerCall;
-    return rate === undefined ? slowdown : Math.max(slowdown, 1000 / rate / fullCallTime);
-  }
-
-  /** Time until an endpoint may be called: until its backoff or pause ends and its rate limit allows a call. */
-  private blockOf(replica: stageReplica.StageReplica, now: commonTypes.Millis): commonTypes.Millis {
-    const limitDelay = this.dependencies.rateLimiter.delayOf(replica.endpoint.id);
-    return Math.max(replica.remainingBlock(now), limitDelay);
-  }
-
   /**
    * Starts as many calls as possible. If items remain, dispatches again at the end of the first backoff or
    * pause, or after half the fixed cost of a call if that is sooner.
    */
   private dispatch(): void {
-    const now = this.dependencies.clock.monotonic();
+    const { clock, rateLimiter } = this.dependencies;
+    const now = clock.monotonic();
     this.pruneQueue(now);
     while (this.queue.length > 0 && this.startNextCall(now));
     if (this.queue.length > 0 && this.timer === undefined) {
       const blocks = [...this.replicas.values()]
-        .map((replica) => this.blockOf(replica, now))
+        .map((replica) => replicaChoice.timeUntilCallable(replica, rateLimiter, now))
         .filter((block) => block > 0);
       this.scheduleDispatch(Math.min(...blocks, this.limits.callCost / 2));
     }
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -4,7 +4,6 @@
 import type * as routing from '../routing/Types.js';
 import * as eventRelay from './EventRelay.js';
 import type * as requestScope from './RequestScope.js';
-import type * as retryBudget from './RetryBudget.js';
 import * as types from './Types.js';
 
 /** Attempts for one request, including those that an endpoint rejected. */
@@ -21,15 +20,8 @@
 const MIN_GOAL_LEFT_MS = 1;
 
 /** Collaborators of an EngineRequestHandler. */
-export interface IEngineRequestDependencies {
-  readonly clock: commonTypes.IClock;
-  readonly caller: types.IEndpointCaller;
+export interface IEngineRequestDependencies extends types.IRequestHandlerDependencies {
   readonly planner: coordination.IPlanner;
-  readonly budget: retryBudget.RetryBudget;
-  readonly logService: commonServices.ILogService;
-  readonly metrics: commonServices.IMetricsService;
-  /** Maximum number of connections from this VM to one endpoint of a service. */
-  readonly maxConnections: (service: string) => number;
 }
 
 /** Outcome of an attempt. */
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -3,7 +3,6 @@
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
 import type * as requestScope from './RequestScope.js';
-import type * as retryBudget from './RetryBudget.js';
 import type * as serviceBalancer from './ServiceBalancer.js';
 import * as types from './Types.js';
 
@@ -22,16 +21,9 @@
 const MAX_BODY_BYTES = 8_388_608;
 
 /** Collaborators of a PlainRequestHandler. */
-export interface IPlainRequestDependencies {
-  readonly clock: commonTypes.IClock;
-  readonly caller: types.IEndpointCaller;
+export interface IPlainRequestDependencies extends types.IRequestHandlerDependencies {
   readonly balancer: serviceBalancer.ServiceBalancer;
-  readonly budget: retryBudget.RetryBudget;
   readonly permits: rateLimits.IPermitService;
-  readonly logService: commonServices.ILogService;
-  readonly metrics: commonServices.IMetricsService;
-  /** Maximum number of connections from this VM to one endpoint of a service. */
-  readonly maxConnections: (service: string) => number;
 }
 
 /** A response that was received completely. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -3,9 +3,11 @@
  * its endpoints.
  */
 import type * as stream from 'node:stream';
+import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as placing from '../placing/Types.js';
 import type * as routing from '../routing/Types.js';
+import type * as retryBudget from './RetryBudget.js';
 
 /** Alternating header names and values, in the format of `rawHeaders` of `node:http`. */
 export type RawHeaders = readonly string[];
@@ -155,3 +157,14 @@
   /** Starts a call and returns at once. */
   send(call: IEndpointCall): IStartedCall;
 }
+
+/** Collaborators of every request handler. */
+export interface IRequestHandlerDependencies {
+  readonly clock: commonTypes.IClock;
+  readonly caller: IEndpointCaller;
+  readonly budget: retryBudget.RetryBudget;
+  readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
+  /** Maximum number of connections from this VM to one endpoint of a service. */
+  readonly maxConnections: (service: string) => number;
+}
