--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -130,6 +130,12 @@
   await until(() => a.isConnected && b.isConnected);
   a.sendRateLimits([{ endpointId: 'e', limit: 2, sentAge: 20, receivedAge: 10 }]);
   await until(() => tables.every((table) => table.limitOf('e') === 2));
+  const later = startClient('later', () => seeds);
+  const received: string[] = [];
+  later.onRateLimits((observations) =>
+    received.push(...observations.map(({ endpointId }) => endpointId)),
+  );
+  await until(() => received.includes('e'));
   seeds = [second.address];
   first.stop();
   await until(() => second.table.limitOf('e') === 2);
--- a/src/ratelimit/testing/RateLimitAudit.ts
+++ b/src/ratelimit/testing/RateLimitAudit.ts
@@ -130,9 +130,9 @@
         ({ at }, index) => (at < until || index === 0) && (steps[index + 1]?.at ?? until) > from,
       );
       const limits = inForce.map(({ limit }) => limit ?? Number.POSITIVE_INFINITY);
-      sum += (Math.max(...limits) * CELL_MS) / 1000;
+      sum += Math.max(...limits);
     }
-    return sum;
+    return (sum * CELL_MS) / 1000;
   }
 
   private recordOf(endpointId: string): IEndpointRecord {
