Let only an answer that is no server error lift a rate limit

Cause: an authentic 500 without a limit lifted it for all VMs, so that they sent freely until the next answer. A replica that fails part of its requests may do so in a part that names no limits.

--- a/src/ratelimit/RateLimitTable.test.ts
+++ b/src/ratelimit/RateLimitTable.test.ts
@@ -57,11 +57,11 @@
     ['has decimals', [[0.25]], 0.25],
     ['is zero', [[0]], 0],
     ['is missing on the next answer', [[1], ['none']], undefined],
-    ['is missing on a rejection', [[1], ['none', 'rejection']], 1],
+    ['is missing on a rejection or a server error', [[1], ['none', 'failure']], 1],
     ['is missing on a response of another endpoint', [[1], ['none', 'unverified']], 1],
     ['is unreadable', [[1], ['unreadable']], 1],
     ['is unreadable from the start', [['unreadable']], undefined],
-    ['is named by a rejection', [[2, 'rejection']], 2],
+    ['is named by a rejection or a server error', [[2, 'failure']], 2],
     ['is named by a response of another endpoint', [[2, 'unverified']], undefined],
     ['is lifted and named again', [[1], ['none'], [3]], 3],
   ] as const)('that %s', async (_case, statements, limit) => {
--- a/src/ratelimit/RateLimitTable.ts
+++ b/src/ratelimit/RateLimitTable.ts
@@ -93,8 +93,8 @@
       logService.warn('rate-limit-unreadable', { endpoint: endpointId, origin });
       return;
     }
-    // Only an authentic answer shows by a missing limit that the limit was lifted.
-    const isIgnored = origin === 'unverified' || (limit === 'none' && origin === 'rejection');
+    // A failure may come from a part of the endpoint that names no limits, so that only an answer shows the end of one.
+    const isIgnored = origin === 'unverified' || (limit === 'none' && origin === 'failure');
     if (isIgnored || (limit === 'none' && !this.records.has(endpointId))) {
       return;
     }
--- a/src/ratelimit/Types.ts
+++ b/src/ratelimit/Types.ts
@@ -2,10 +2,11 @@
 import type * as commonTypes from '../common/Types.js';
 
 /**
- * How far a response can be trusted: an `answer` is authentic, a `rejection` states that the request was not executed,
- * and anything else is `unverified`, for example a response of another endpoint at the same address.
+ * How far a response can be trusted: an `answer` is authentic and no server error, a `failure` is an authentic server
+ * error or states that the request was not executed, and anything else is `unverified`, for example a response of
+ * another endpoint at the same address.
  */
-export type StatementOrigin = 'answer' | 'rejection' | 'unverified';
+export type StatementOrigin = 'answer' | 'failure' | 'unverified';
 
 /** What one response says about the rate limit of its endpoint. */
 export interface IRateLimitStatement {
