--- a/src/ratelimit/EndpointPermits.ts
+++ b/src/ratelimit/EndpointPermits.ts
@@ -5,15 +5,15 @@
 
 /** Time after which a request for a permit that was not answered counts as refused. */
 const PERMIT_TIMEOUT_MS = 60;
-/** Time for which no permit is requested after one was not answered. */
-const UNANSWERED_PAUSE_MS = 500;
+/** Time after an unanswered request in which a VM acts as without a coordinator. */
+const LOCAL_TIME_MS = 500;
 /** Minimum time for which no permit is requested after a refusal. */
 const MIN_PAUSE_MS = 10;
 
 /** Components that permits use. */
 export interface IEndpointPermitsDependencies {
   readonly table: rateLimitTable.RateLimitTable;
-  /** Limiter in use while no coordinator is connected. */
+  /** Limiter in use while no coordinator is connected, or it does not answer. */
   readonly local: types.IEndpointRateLimiter;
   readonly link: types.ICoordinatorLink;
   readonly clock: commonTypes.IClock;
@@ -32,6 +32,8 @@
 
   private nextPermitId = 1;
 
+  private localUntil: commonTypes.Millis = 0;
+
   /** Starts the exchange over the link. */
   constructor(private readonly deps: IEndpointPermitsDependencies) {
     const { table, link } = deps;
@@ -59,11 +61,11 @@
 
   /** @inheritdoc */
   delayOf(endpointId: string): commonTypes.Millis {
-    const { local, link, clock } = this.deps;
+    const { local, clock } = this.deps;
     if (!this.isLimited(endpointId)) {
       return 0;
     }
-    if (!link.isConnected) {
+    if (!this.hasAnsweringCoordinator) {
       return local.delayOf(endpointId);
     }
     return Math.max(0, (this.pausedUntil.get(endpointId) ?? 0) - clock.monotonic());
@@ -71,11 +73,11 @@
 
   /** @inheritdoc */
   acquire(endpointId: string): boolean | Promise<boolean> {
-    const { local, link, metrics } = this.deps;
+    const { local, metrics } = this.deps;
     if (!this.isLimited(endpointId)) {
       return true;
     }
-    if (link.isConnected) {
+    if (this.hasAnsweringCoordinator) {
       return this.request(endpointId);
     }
     const isGranted = local.take(endpointId);
@@ -83,6 +85,11 @@
     return isGranted;
   }
 
+  private get hasAnsweringCoordinator(): boolean {
+    const { link, clock } = this.deps;
+    return link.isConnected && clock.monotonic() >= this.localUntil;
+  }
+
   private async request(endpointId: string): Promise<boolean> {
     const { link, clock, metrics } = this.deps;
     const permitId = this.nextPermitId;
@@ -96,13 +103,16 @@
       link.requestPermit(permitId, endpointId);
     });
     this.pending.delete(permitId);
-    if (answer?.isGranted === true) {
-      metrics.count('permits', { outcome: 'granted' });
-      return true;
+    if (answer === undefined) {
+      metrics.count('permits', { outcome: 'unanswered' });
+      this.localUntil = clock.monotonic() + LOCAL_TIME_MS;
+      return false;
+    }
+    metrics.count('permits', { outcome: answer.isGranted ? 'granted' : 'refused' });
+    if (!answer.isGranted) {
+      const pause = Math.max(MIN_PAUSE_MS, answer.delay);
+      this.pausedUntil.set(endpointId, clock.monotonic() + pause);
     }
-    const pause = answer === undefined ? UNANSWERED_PAUSE_MS : Math.max(MIN_PAUSE_MS, answer.delay);
-    metrics.count('permits', { outcome: answer === undefined ? 'unanswered' : 'refused' });
-    this.pausedUntil.set(endpointId, clock.monotonic() + pause);
-    return false;
+    return answer.isGranted;
   }
 }
