--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -32,8 +32,6 @@
   avoid: readonly string[];
 }
 
-/** `retryAfter` of a refusal, at least. */
-const MIN_RETRY_AFTER_MS = 150;
 /** Results that expire within this time are not sent to another engine. */
 const MIN_RESULT_LIFE_MS = 300;
 /** A plan for which no end was reported is removed this long after its deadline. */
@@ -169,7 +167,11 @@
     }
     if (plan?.results === undefined || this.hasExpiringResults(plan)) {
       this.removePlan(planId);
-      return Promise.resolve({ kind: 'refused', reason: 'lost', retryAfter: MIN_RETRY_AFTER_MS });
+      return Promise.resolve({
+        kind: 'refused',
+        reason: 'lost',
+        retryAfter: planAdmission.MIN_RETRY_AFTER_MS,
+      });
     }
     plan.avoid = [...plan.avoid, failed];
     return new Promise((resolve) => {
@@ -255,7 +257,7 @@
     }
     if (outcome.kind === 'failed') {
       const reason = outcome.reason === 'expired' ? 'too-late' : 'stage-failed';
-      this.refusePlan(planId, plan, reason, MIN_RETRY_AFTER_MS);
+      this.refusePlan(planId, plan, reason, planAdmission.MIN_RETRY_AFTER_MS);
       return;
     }
     plan.results = outcome.results;
@@ -277,7 +279,7 @@
       if (Number.isFinite(limitDelay)) {
         this.queuePlacement(planId, plan, limitDelay);
       } else {
-        this.refusePlan(planId, plan, 'no-endpoint', MIN_RETRY_AFTER_MS);
+        this.refusePlan(planId, plan, 'no-endpoint', planAdmission.MIN_RETRY_AFTER_MS);
       }
       return;
     }
@@ -302,7 +304,7 @@
       return;
     }
     if (this.hasExpiringResults(plan)) {
-      this.refusePlan(planId, plan, 'overloaded', MIN_RETRY_AFTER_MS);
+      this.refusePlan(planId, plan, 'overloaded', planAdmission.MIN_RETRY_AFTER_MS);
       return;
     }
     this.placeRequest(planId, plan);
@@ -351,7 +353,11 @@
     }
     this.placers.get(plan.req.service)?.removeRequest(planId);
     plan.job.cancel();
-    this.resolvePlan(plan, { kind: 'refused', reason: 'lost', retryAfter: MIN_RETRY_AFTER_MS });
+    this.resolvePlan(plan, {
+      kind: 'refused',
+      reason: 'lost',
+      retryAfter: planAdmission.MIN_RETRY_AFTER_MS,
+    });
   }
 
   private logOutcome(
--- a/src/coordination/PlanAdmission.ts
+++ b/src/coordination/PlanAdmission.ts
@@ -6,7 +6,7 @@
 import type * as types from './Types.js';
 
 /** Minimum `retryAfter` of a refusal. */
-const MIN_RETRY_AFTER_MS = 150;
+export const MIN_RETRY_AFTER_MS = 150;
 /**
  * Ratio of `retryAfter` to the time left until the deadline for a request refused as overloaded: most bursts end
  * within this time, and enough time is left for a second attempt.
