--- a/src/ratelimit/LocalRateLimiter.ts
+++ b/src/ratelimit/LocalRateLimiter.ts
@@ -1,11 +1,10 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as rateLimitTable from './RateLimitTable.js';
+import * as sharedRateLimiter from './SharedRateLimiter.js';
 import type * as types from './Types.js';
 
 /** Part of a rate that all VMs without a coordinator use together; a coordinator may grant the whole rate to others. */
 const USABLE_RATIO = 0.2;
-/** Lowest rate of all VMs together, in calls per second; see SharedRateLimiter. */
-const MIN_RATE = 0.1;
 
 interface ISlot {
   readonly endsAt: commonTypes.Millis;
@@ -56,7 +55,9 @@
 
   private sharedRateOf(endpointId: string): number | undefined {
     const limit = this.table.limitOf(endpointId);
-    return limit === undefined ? undefined : Math.max(limit, MIN_RATE) * USABLE_RATIO;
+    return limit === undefined
+      ? undefined
+      : Math.max(limit, sharedRateLimiter.MIN_RATE) * USABLE_RATIO;
   }
 
   /** The slot that has begun last; undefined for an endpoint without a limit. */
--- a/src/ratelimit/SharedRateLimiter.ts
+++ b/src/ratelimit/SharedRateLimiter.ts
@@ -7,7 +7,7 @@
  * Lowest rate at which calls are sent to an endpoint, in calls per second: the limit of an endpoint that gets none
  * could never be seen to be lifted.
  */
-const MIN_RATE = 0.1;
+export const MIN_RATE = 0.1;
 /** Calls that may be sent at once after a pause: BURST_CALLS, and this part of a second's calls. */
 const BURST_CALLS = 2;
 const BURST_RATIO = 1 / 8;
