Log how a caller's connection closed before its answer, and the limits in force

For the incident on closed connections: callers saw requests end without an answer, and an entry VM wrote no line on any of them. For its logs the caller had left, whoever closed the connection. Nor did a line say which limits on callers a VM applied.

caller-disconnected names the request and the cause (caller-closed, reset, closed-here), caller_disconnects counts them, and config-in-force names header and idle timeout. No decision changes.

--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -79,15 +79,15 @@
 
   retryAfter: number | undefined;
 
-  private disconnectListener: (() => void) | undefined;
+  private disconnectListener: ((cause: types.DisconnectCause) => void) | undefined;
 
-  onDisconnect(listener: () => void): void {
+  onDisconnect(listener: (cause: types.DisconnectCause) => void): void {
     this.disconnectListener = listener;
   }
 
   disconnect(): void {
     this.isDisconnected = true;
-    this.disconnectListener?.();
+    this.disconnectListener?.('caller-closed');
   }
 
   answer(answer: types.IEndpointAnswer, body: Buffer): void {
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -75,6 +75,8 @@
         version: table.version,
         routes: table.routes.length,
         services: table.services.size,
+        headerTimeout: table.limits.headerTimeout,
+        idleTimeout: table.limits.idleTimeout,
       });
     }
   }
@@ -137,6 +139,7 @@
       responder,
       clock,
       (expired) => this.timeOut(expired),
+      (left, cause) => this.recordDisconnect(left, cause),
     );
     this.openCount += 1;
     scope.onFinish(() => {
@@ -186,6 +189,22 @@
     }
   }
 
+  /** Reports a request whose connection closed before its response was complete. */
+  private recordDisconnect(
+    { request, route, responseStarted, attemptCount, age }: requestScope.RequestScope,
+    cause: types.DisconnectCause,
+  ): void {
+    this.deps.logService.info('caller-disconnected', {
+      request: request.id,
+      route: route.name,
+      cause,
+      begun: responseStarted,
+      sendings: attemptCount,
+      age: Math.round(age),
+    });
+    this.deps.metrics.count('caller_disconnects', { cause });
+  }
+
   /** Rejects a request before it is handled; `retryAfter` is sent to the caller if the status allows it. */
   private reject(
     request: types.IIncomingRequest,
--- a/src/gateway/RequestScope.ts
+++ b/src/gateway/RequestScope.ts
@@ -11,8 +11,8 @@
   private readonly timer: commonTypes.IDisposable;
 
   /**
-   * Ends by itself when the caller disconnects, or when the deadline passes. In the second case `onTimeout` is called
-   * first, so that it can still send a response.
+   * Ends by itself when the caller disconnects, or when the deadline passes. `onDisconnect` or `onTimeout` is called
+   * first; `onTimeout` can still send a response.
    */
   constructor(
     readonly request: types.IIncomingRequest,
@@ -22,6 +22,7 @@
     readonly responder: types.IResponder,
     private readonly clock: commonTypes.IClock,
     onTimeout: (scope: RequestScope) => void,
+    onDisconnect: (scope: RequestScope, cause: types.DisconnectCause) => void,
   ) {
     const callerTimeout = request.callerTimeout ?? Number.POSITIVE_INFINITY;
     this.deadline = request.arrivedAt + Math.min(callerTimeout, route.timeout);
@@ -31,7 +32,12 @@
         this.finish();
       }
     });
-    responder.onDisconnect(() => this.finish());
+    responder.onDisconnect((cause) => {
+      if (!this.over) {
+        onDisconnect(this, cause);
+        this.finish();
+      }
+    });
   }
 
   /** Time, on the monotonic clock, at which the timeout of the caller or of the route expires, whichever is earlier. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -53,12 +53,18 @@
   | 'timed-out'
   | 'internal';
 
+/**
+ * How a caller's connection closed before its response was complete: `caller-closed` if the caller ended it, `reset` if
+ * it failed, `closed-here` if this process closed it.
+ */
+export type DisconnectCause = 'caller-closed' | 'reset' | 'closed-here';
+
 /** Writes the response to one caller. */
 export interface IResponder {
   /** Whether the connection closed before the response was complete. */
   readonly isDisconnected: boolean;
   /** Calls `listener` once if the connection closes before the response is complete. */
-  onDisconnect(listener: () => void): void;
+  onDisconnect(listener: (cause: DisconnectCause) => void): void;
   /** Sends the complete response of an endpoint. */
   answer(answer: IEndpointAnswer, body: Buffer): void;
   /** Sends the status and headers of an endpoint's response; the body follows with `write` and `end`. */
