Never let the idle timeout of callers end a request that waits for its answer

Cause: CallerServer set the idle timeout on the socket while it read the body (IncomingMessage.setTimeout) and nothing removed it. Once the request is complete the listener does nothing, and Node destroys a socket on which no byte moves for that long: while stages and an engine work, or between two events of a stream. A timer that belongs to one state of a connection fired in another.

Ruled out: the header timeout (closes would fall on its checks every 500 ms, after a 408).

A complete answer that the caller does not read ends after the idle timeout without progress. A changed limit re-arms the timers of open connections.

--- /dev/null
+++ b/src/gateway/CallerConnections.ts
@@ -0,0 +1,215 @@
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as commonTypes from '../common/Types.js';
+import type * as commonServices from '../common/services/Services.js';
+
+/** A connection between two requests closes this long after the idle timeout, for requests sent just before it. */
+const CLOSE_DELAY_MS = 500;
+/** While the server shuts down, a connection that has not been used yet may wait this long for its first request. */
+const UNUSED_GRACE_MS = 1000;
+
+/** Components that the connections use. */
+export interface ICallerConnectionsDependencies {
+  readonly clock: commonTypes.IClock;
+  readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
+}
+
+/**
+ * What the server waits for on a connection: `request` for the first byte of the next request, `body` for the rest of a
+ * body, `answer` for its own answer. A head that has begun to arrive is in state `request`, too.
+ */
+type ConnectionState = 'request' | 'body' | 'answer';
+
+interface IConnection {
+  readonly socket: net.Socket;
+  state: ConnectionState;
+  /** Whether a request has arrived on the connection. */
+  isUsed: boolean;
+  /** Requests that were read completely and whose answer is not sent. */
+  waitingAnswers: number;
+  /** Time of the last progress of the caller, or since which the state lasts. */
+  since: commonTypes.Millis;
+  /** Bytes that had arrived when state `request` began. */
+  bytesBefore: number;
+  timer: commonTypes.IDisposable | undefined;
+  /** Called when the caller makes no progress with a body. */
+  onStalledBody: (() => void) | undefined;
+}
+
+/**
+ * Enforces the idle timeout on the connections of callers. It limits the time for which a caller may be idle: between
+ * two requests, within a body, and while it does not read the rest of a complete answer. It never runs while a request
+ * waits for its answer, whose time the deadline of the request limits. The server's header timeout limits heads.
+ *
+ * @example
+ * const connections = new CallerConnections(deps, 15_000);
+ * server.on('connection', (socket) => connections.add(socket));
+ */
+export class CallerConnections implements commonTypes.IDisposable {
+  private readonly connections = new Map<net.Socket, IConnection>();
+
+  /** Answers that are complete but not sent to the caller yet. */
+  private readonly unsentAnswers = new Set<http.ServerResponse>();
+
+  /** `idleTimeout` applies until `setIdleTimeout` is called. */
+  constructor(
+    private readonly deps: ICallerConnectionsDependencies,
+    private idleTimeout: commonTypes.Millis,
+  ) {}
+
+  /** Number of open connections. */
+  get count(): number {
+    return this.connections.size;
+  }
+
+  /** Starts to track a connection that has been accepted. */
+  add(socket: net.Socket): void {
+    const connection: IConnection = {
+      socket,
+      state: 'request',
+      isUsed: false,
+      waitingAnswers: 0,
+      since: 0,
+      bytesBefore: 0,
+      timer: undefined,
+      onStalledBody: undefined,
+    };
+    this.connections.set(socket, connection);
+    this.enterState(connection, 'request');
+    socket.once('close', () => {
+      connection.timer?.dispose();
+      this.connections.delete(socket);
+    });
+  }
+
+  /**
+   * Applies a changed timeout to open connections. A longer one counts from the caller's last progress; a shorter one
+   * from now at the earliest, because callers may rely on the longer one until they learn of the change.
+   */
+  setIdleTimeout(idleTimeout: commonTypes.Millis): void {
+    const { clock } = this.deps;
+    const previous = this.idleTimeout;
+    this.idleTimeout = idleTimeout;
+    if (idleTimeout === previous) {
+      return;
+    }
+    const latestDue = clock.monotonic() + idleTimeout;
+    this.connections.forEach((connection) => {
+      if (idleTimeout < previous) {
+        Object.assign(connection, {
+          since: Math.min(connection.since + previous, latestDue) - idleTimeout,
+        });
+      }
+      this.startTimer(connection);
+    });
+    this.unsentAnswers.forEach((res) => res.socket?.setTimeout(idleTimeout));
+  }
+
+  /** Records that a head has arrived; `onStalled` is called if the body makes no progress for the idle timeout. */
+  startBody(req: http.IncomingMessage, onStalled: () => void): void {
+    const connection = this.connections.get(req.socket);
+    if (connection !== undefined) {
+      connection.isUsed = true;
+      connection.onStalledBody = onStalled;
+      this.enterState(connection, 'body');
+    }
+  }
+
+  /** Records that a part of the body has arrived. */
+  recordProgress(socket: net.Socket): void {
+    const connection = this.connections.get(socket);
+    if (connection !== undefined) {
+      connection.since = this.deps.clock.monotonic();
+    }
+  }
+
+  /** Records that a request was read completely; the connection waits for the answer until `res` is sent or closed. */
+  startAnswer(req: http.IncomingMessage, res: http.ServerResponse, requestId: string): void {
+    const { socket } = req;
+    const connection = this.connections.get(socket);
+    if (connection === undefined) {
+      return;
+    }
+    connection.waitingAnswers += 1;
+    this.enterState(connection, 'answer');
+    res.once('prefinish', () => this.limitSending(socket, res, requestId));
+    res.once('close', () => this.endAnswer(connection, res));
+  }
+
+  /**
+   * Closes the connections on which no request is open; those that were not used yet only after UNUSED_GRACE_MS, since
+   * their first request may be on its way.
+   */
+  closeIdle(): void {
+    const now = this.deps.clock.monotonic();
+    [...this.connections.values()]
+      .filter((connection) => CallerConnections.isIdle(connection))
+      .filter(({ isUsed, since }) => isUsed || now - since > UNUSED_GRACE_MS)
+      .forEach(({ socket }) => socket.destroy());
+  }
+
+  /** Closes every connection. */
+  dispose(): void {
+    [...this.connections.keys()].forEach((socket) => socket.destroy());
+  }
+
+  private static isIdle({ state, socket, bytesBefore }: IConnection): boolean {
+    return state === 'request' && socket.bytesRead === bytesBefore;
+  }
+
+  private enterState(connection: IConnection, state: ConnectionState): void {
+    Object.assign(connection, {
+      state,
+      since: this.deps.clock.monotonic(),
+      bytesBefore: connection.socket.bytesRead,
+    });
+    this.startTimer(connection);
+  }
+
+  private startTimer(connection: IConnection): void {
+    connection.timer?.dispose();
+    const { clock } = this.deps;
+    const isTimed = connection.state !== 'answer';
+    const delay = this.dueAt(connection) - clock.monotonic();
+    Object.assign(connection, {
+      timer: isTimed ? clock.setTimer(delay, () => this.expire(connection)) : undefined,
+    });
+  }
+
+  private dueAt({ since, state }: IConnection): commonTypes.Millis {
+    return since + this.idleTimeout + (state === 'request' ? CLOSE_DELAY_MS : 0);
+  }
+
+  private expire(connection: IConnection): void {
+    if (this.dueAt(connection) > this.deps.clock.monotonic()) {
+      this.startTimer(connection);
+    } else if (connection.state === 'body') {
+      connection.onStalledBody?.();
+    } else if (CallerConnections.isIdle(connection)) {
+      this.deps.metrics.count('idle_connections_closed');
+      connection.socket.destroy();
+    }
+  }
+
+  /** Closes the connection if the caller reads nothing of a complete answer for the idle timeout. */
+  private limitSending(socket: net.Socket, res: http.ServerResponse, requestId: string): void {
+    this.unsentAnswers.add(res);
+    res.setTimeout(this.idleTimeout, () => {
+      const { logService, metrics } = this.deps;
+      logService.info('caller-not-reading', { request: requestId, unsent: socket.writableLength });
+      metrics.count('caller_disconnects', { cause: 'not-reading' });
+      socket.destroy();
+    });
+  }
+
+  private endAnswer(connection: IConnection, res: http.ServerResponse): void {
+    const { socket } = connection;
+    this.unsentAnswers.delete(res);
+    socket.setTimeout(0);
+    Object.assign(connection, { waitingAnswers: connection.waitingAnswers - 1 });
+    if (connection.waitingAnswers === 0 && connection.state === 'answer' && !socket.destroyed) {
+      this.enterState(connection, 'request');
+    }
+  }
+}
