Do not answer a waiting request with the rejection of the bytes that follow it

A caller that sent half a head, or bytes that are no request, behind a request that was still waiting got 408 or 400 as the answer to that request, though it ran (408 promises that it did not), and the connection was closed.

Cause: clientError wrote its response at once, whatever the connection waited for. Same class as the idle timeout: the header timeout of the next request fired while the connection waited for the answer to the one before.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -33,8 +33,12 @@
   /** Bytes that had arrived when state `request` began. */
   bytesBefore: number;
   timer: commonTypes.IDisposable | undefined;
+  /** Latest request whose head has arrived. */
+  latest: http.IncomingMessage | undefined;
   /** Called when the caller makes no progress with a body. */
   onStalledBody: (() => void) | undefined;
+  /** Response to bytes that are no request, sent after the answers to the requests before them. */
+  rejection: string | undefined;
 }
 
 /**
@@ -73,7 +77,9 @@
       since: 0,
       bytesBefore: 0,
       timer: undefined,
+      latest: undefined,
       onStalledBody: undefined,
+      rejection: undefined,
     };
     this.connections.set(socket, connection);
     this.enterState(connection, 'request');
@@ -111,6 +117,7 @@
     const connection = this.connections.get(req.socket);
     if (connection !== undefined) {
       connection.isUsed = true;
+      connection.latest = req;
       connection.onStalledBody = onStalled;
       this.enterState(connection, 'body');
     }
@@ -137,6 +144,21 @@
     res.once('close', () => this.endAnswer(connection, res));
   }
 
+  /** Whether a request on the connection waits for its answer, or was read completely and is about to. */
+  isAnswering(socket: net.Socket): boolean {
+    const connection = this.connections.get(socket);
+    const isWaiting = (connection?.waitingAnswers ?? 0) > 0;
+    return isWaiting || (connection?.state === 'body' && connection.latest?.complete === true);
+  }
+
+  /** Writes `response` and closes the connection once the requests that wait on it are answered. */
+  rejectAfterAnswers(socket: net.Socket, response: string): void {
+    const connection = this.connections.get(socket);
+    if (connection !== undefined) {
+      connection.rejection = response;
+    }
+  }
+
   /**
    * Closes the connections on which no request is open; those that were not used yet only after UNUSED_GRACE_MS, since
    * their first request may be on its way.
@@ -208,7 +230,12 @@
     this.unsentAnswers.delete(res);
     socket.setTimeout(0);
     Object.assign(connection, { waitingAnswers: connection.waitingAnswers - 1 });
-    if (connection.waitingAnswers === 0 && connection.state === 'answer' && !socket.destroyed) {
+    if (connection.waitingAnswers > 0 || socket.destroyed) {
+      return;
+    }
+    if (connection.rejection !== undefined) {
+      socket.end(connection.rejection);
+    } else if (connection.state === 'answer') {
       this.enterState(connection, 'request');
     }
   }
