Answer the requests that are open when an entry VM has to exit

Callers whose requests still waited when the grace period of a stopped VM ended got a closed connection: no answer, though the request had not run and another VM could have served it, and no line in the log.

Cause: EntryVm.stop exited with requests open. Class: a connection that ends with no answer and no line while a request waits on it.

--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -303,6 +303,17 @@
     expect((await request('/write/x')).outcome).toBe('endpoint-failed');
   });
 
+  test('answers the requests that are open when the process exits', async () => {
+    reply = () => 'silent';
+    const sent = await request('/write/x', 10);
+    planOutcomes = [new Promise(() => {}) as never];
+    const before = await request('/chat/x', 10);
+    gateway.endOpenRequests();
+    expect([sent.outcome, before.outcome]).toEqual(['endpoint-failed', 'draining']);
+    expect(gateway.openRequests).toBe(0);
+    expect(cancelCount).toBe(1);
+  });
+
   test('cancels the call if the caller disconnects', async () => {
     reply = () => 'silent';
     const responder = await request('/write/x', 100);
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -42,7 +42,7 @@
 
   private draining = false;
 
-  private openCount = 0;
+  private readonly openScopes = new Set<requestScope.RequestScope>();
 
   /** Rejects all requests as not ready until `configure` is called. */
   constructor(private readonly deps: IGatewayDependencies) {}
@@ -59,7 +59,7 @@
 
   /** Number of requests whose response is not complete. */
   get openRequests(): number {
-    return this.openCount;
+    return this.openScopes.size;
   }
 
   /** Whether the configuration in force has a route for the host and the path of a request. */
@@ -86,6 +86,30 @@
     this.draining = true;
   }
 
+  /**
+   * Ends all open requests, because the process exits: rejects those whose response has not started, and aborts the
+   * others.
+   */
+  endOpenRequests(): void {
+    [...this.openScopes].forEach((scope) => {
+      const { request, route, responseStarted, attemptCount, isNotRun, age } = scope;
+      this.deps.logService.warn('ended-by-exit', {
+        request: request.id,
+        route: route.name,
+        begun: responseStarted,
+        sendings: attemptCount,
+        age: Math.round(age),
+      });
+      this.deps.metrics.count('refused', { reason: 'draining' });
+      if (responseStarted) {
+        scope.responder.abort();
+      } else {
+        scope.responder.reject(isNotRun ? 'draining' : 'endpoint-failed', DRAINING_RETRY_AFTER_MS);
+      }
+      scope.finish();
+    });
+  }
+
   /** Handles one request; `responder` receives the response or a rejection. */
   handle(request: types.IIncomingRequest, responder: types.IResponder): void {
     const { index } = this;
@@ -141,9 +165,9 @@
       (expired) => this.timeOut(expired),
       (left, cause) => this.recordDisconnect(left, cause),
     );
-    this.openCount += 1;
+    this.openScopes.add(scope);
     scope.onFinish(() => {
-      this.openCount -= 1;
+      this.openScopes.delete(scope);
       this.deps.metrics.timing('request', scope.age, { route: route.kind });
     });
     const deps = { ...this.deps, maxConnections: (name: string) => this.maxConnections(name) };
