Answer a request whose call cannot be sent, rather than end the process

Callers saw every request of an entry VM end with its process: one call that throws on a safe route, e.g. for a workspace name outside Latin-1, which no header can carry, was an unhandled rejection. The attempts were observed for hedging with no handler for their rejection.

Both observers now handle it: the request is answered 502 internal, logged as request-failed and counted. The call is sent before the attempt is counted, so that the endpoint keeps no running call that never started.

--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -142,6 +142,7 @@
   let cancelCount: number;
   let permits: FakePermits;
   let metrics: recordingMetrics.RecordingMetricsService;
+  let log: recordingLog.RecordingLogService;
   let reply: ReplyFn;
   let plans: coordination.IPlanRequest[];
   let planOutcomes: coordination.PlanOutcome[];
@@ -197,6 +198,7 @@
     const limits = { ratio: 0.2, window: 10_000, slack: 100 };
     permits = new FakePermits();
     metrics = new recordingMetrics.RecordingMetricsService();
+    log = new recordingLog.RecordingLogService();
     gateway = new gateways.Gateway({
       clock,
       random,
@@ -205,7 +207,7 @@
       permits,
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       budget: new retryBudget.RetryBudget(limits, clock, () => 1),
-      logService: new recordingLog.RecordingLogService(),
+      logService: log,
       metrics,
       entryVmCount: () => 1,
     });
@@ -323,6 +325,27 @@
     expect(gateway.openRequests).toBe(0);
   });
 
+  test('survives a call that throws on a safe route, and answers its caller', async () => {
+    const errors: unknown[] = [];
+    const record = (err: unknown): void => {
+      errors.push(err);
+    };
+    const others = process.listeners('unhandledRejection');
+    process.removeAllListeners('unhandledRejection');
+    process.on('unhandledRejection', record);
+    reply = () => {
+      throw new TypeError('Invalid character in header content ["Tenant"]');
+    };
+    const responder = await request('/read/x');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    process.removeListener('unhandledRejection', record);
+    others.forEach((listener) => process.on('unhandledRejection', listener));
+    expect(errors).toEqual([]);
+    expect(responder.outcome).toBe('internal');
+  });
+
   test('resumes a broken stream after the last event that was forwarded', async () => {
     const ready = (id: string): coordination.PlanOutcome => ({
       kind: 'ready',
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -186,6 +186,7 @@
     if (scope.isFinished) {
       return;
     }
+    this.deps.metrics.count('refused', { reason: 'internal' });
     if (scope.responseStarted) {
       scope.responder.abort();
     } else {
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -157,29 +157,33 @@
     return PlainRequestHandler.firstSuccess(first, this.attempt(false));
   }
 
-  /** Whether `first` is still unsettled after `delay`. */
+  /** Whether `first` is still unsettled after `delay`. The calling method handles a rejection of `first`. */
   private async isSlower(first: Promise<Outcome>, delay: commonTypes.Millis): Promise<boolean> {
     return new Promise((resolve) => {
       const timer = this.deps.clock.setTimer(delay, () => resolve(true));
-      void first.then(() => {
+      const settle = (): void => {
         timer.dispose();
         resolve(false);
-      });
+      };
+      first.then(settle, settle);
     });
   }
 
-  /** Resolves with the first response below status 500 of two attempts, else with the outcome of the later one. */
+  /**
+   * Resolves with the first response below status 500 of two attempts, else with the outcome of the later one; rejects
+   * with the first unexpected error.
+   */
   private static firstSuccess(first: Promise<Outcome>, second: Promise<Outcome>): Promise<Outcome> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       let pending = 2;
       [first, second].forEach((attempt) => {
-        void attempt.then((outcome) => {
+        attempt.then((outcome) => {
           pending -= 1;
           const isSuccess = outcome.kind === 'whole' && outcome.complete.answer.status < 500;
           if (isSuccess || pending === 0) {
             resolve(outcome);
           }
-        });
+        }, reject);
       });
     });
   }
@@ -212,13 +216,14 @@
   /** Sends the request to one endpoint and reads its response. */
   private async sendTo(endpoint: routing.IEndpoint): Promise<Outcome> {
     const { scope, deps } = this;
+    const started = deps.clock.monotonic();
+    // Before the attempt is counted, because `send` throws if the request cannot be encoded.
+    const call = deps.caller.send(this.buildCall(endpoint));
     this.triedEndpoints.push(endpoint.id);
     scope.attemptCount += 1;
     scope.attemptsInFlight += 1;
     this.executions += 1;
     deps.balancer.recordStart(endpoint.id);
-    const started = deps.clock.monotonic();
-    const call = deps.caller.send(this.buildCall(endpoint));
     let cancelled = false;
     const unregister = scope.onFinish(() => {
       cancelled = true;
