Keep the plans of an entry VM that is back when its closed session expires

Callers saw requests refused as lost, or placed again, although their plans were sound: one second after a feed session had closed, the coordinator cancelled all plans of that session, also those that the VM went on with in its next session.

The timer now moves the plans whose outcome the VM was told to its current session, which ends them when it closes. Plans without an outcome are cancelled as before, because the VM requests them again.

--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -88,6 +88,11 @@
     return this.plans.size;
   }
 
+  /** Whether a plan is queued or running. */
+  hasPlan(planId: string): boolean {
+    return this.plans.has(planId);
+  }
+
   /** @inheritdoc */
   plan(
     req: types.IPlanRequest,
--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -25,6 +25,7 @@
 interface ILeader {
   readonly address: string;
   readonly table: rateLimitTable.RateLimitTable;
+  readonly coordinator: coordinators.Coordinator;
   stop(): void;
 }
 
@@ -67,7 +68,7 @@
     server.forceShutdown();
   };
   disposables.push({ dispose: stop });
-  return { address: `127.0.0.1:${port}`, table, stop };
+  return { address: `127.0.0.1:${port}`, table, coordinator, stop };
 }
 
 function startClient(vm: string, seeds: () => readonly string[]): feedClient.FeedClient {
@@ -147,3 +148,39 @@
   await until(() => answers.length === 2);
   expect(answers).toEqual([false, true]);
 });
+
+test('a VM that is back after a short loss keeps the plan whose engine has not begun to answer', async () => {
+  const { address, coordinator } = await startLeader();
+  const endpoint = { id: 'e', service: 's', address, availabilityZone: 'a', slots: 1 };
+  vitest.vi.spyOn(coordinator, 'plan').mockResolvedValue({
+    kind: 'ready',
+    endpoint: { ...endpoint, draining: false },
+    inputs: ['h'],
+  });
+  const cancel = vitest.vi.spyOn(coordinator, 'cancel');
+  const client = startClient('a', () => [address]);
+  await until(() => client.isConnected);
+  const planned = await client.plan({
+    planId: 'r#1',
+    requestId: 'r',
+    service: 's',
+    stages: [],
+    pieces: [],
+    pieceKey: '',
+    priority: 0,
+    goalLeft: 5000,
+    deadlineLeft: 20_000,
+    prompt: { parts: [], tokensIn: 1, tokensOut: 1 },
+    avoid: [],
+    held: [],
+  });
+  expect(planned.kind).toBe('ready');
+  const { connection } = client as unknown as { connection: { end(reason: string): void } };
+  connection.end('lost in a test');
+  await until(() => !client.isConnected);
+  await until(() => client.isConnected);
+  // Longer than the coordinator keeps the plans of a closed session.
+  await clock.sleep(1500);
+  expect(client.isConnected).toBe(true);
+  expect(cancel).not.toHaveBeenCalledWith('r#1');
+});
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -32,12 +32,16 @@
 /** Time for which the highest number of entry VMs is reported, so that it does not fall while they change connections. */
 const ENTRY_COUNT_WINDOW_MS = 10_000;
 
+/** Whether the VM of a session knows the outcome of a plan. */
+type PlanProgress = 'pending' | 'ready';
+
 interface ISession {
   readonly stream: Stream;
   vm: string;
   version: number;
   lastReceivedAt: commonTypes.Millis;
-  readonly plans: Set<string>;
+  /** Plans of the VM that have not ended, by id. */
+  readonly plans: Map<string, PlanProgress>;
   /** Results that have not been sent to the VM yet. */
   pendingResults: types.IPlanResult[];
 }
@@ -126,7 +130,7 @@
 
   private openSession(stream: Stream): void {
     const now = this.deps.clock.monotonic();
-    const plans = new Set<string>();
+    const plans = new Map<string, PlanProgress>();
     const session: ISession = {
       stream,
       vm: '',
@@ -150,11 +154,31 @@
     session.stream.end();
     this.abandonPlans(session);
     this.deps.clock.setTimer(PLAN_HANDOVER_MS, () => {
+      this.moveReadyPlans(session);
       this.abandonPlans(session);
-      session.plans.forEach((id) => this.deps.coordinator.cancel(id));
+      session.plans.forEach((_, id) => this.deps.coordinator.cancel(id));
     });
   }
 
+  /**
+   * Moves the plans whose outcome the VM knows to its current session, if it has one: the VM continues them. It requests
+   * the others again.
+   */
+  private moveReadyPlans(closed: ISession): void {
+    const successor = [...this.sessions].filter(({ vm }) => vm === closed.vm).at(-1);
+    if (successor === undefined) {
+      return;
+    }
+    [...closed.plans]
+      .filter(([, progress]) => progress === 'ready')
+      .forEach(([id, progress]) => {
+        closed.plans.delete(id);
+        if (this.deps.coordinator.hasPlan(id)) {
+          successor.plans.set(id, progress);
+        }
+      });
+  }
+
   /**
    * Abandons the plans of a session, unless this VM leads the group: without a quorum a successor may
    * exist, which continues the plans with their results.
@@ -162,7 +186,7 @@
   private abandonPlans(session: ISession): void {
     const { log, coordinator: planner } = this.deps;
     if (log.status().role !== 'leader') {
-      session.plans.forEach((id) => planner.abandon(id));
+      session.plans.forEach((_, id) => planner.abandon(id));
     }
   }
 
@@ -191,7 +215,7 @@
         session.stream.end();
         break;
       case 'plan':
-        session.plans.add(message.plan.planId);
+        session.plans.set(message.plan.planId, 'pending');
         this.startPlan(session, message.plan);
         break;
       case 'spare':
@@ -201,6 +225,7 @@
         this.adoptEndpoints(session, message.list);
         break;
       case 'again':
+        session.plans.set(message.planId, 'pending');
         void this.sendOutcome(
           session,
           message.planId,
@@ -288,6 +313,9 @@
       session.plans.delete(planId);
     }
     if (this.sessions.has(session)) {
+      if (outcome.kind === 'ready' && session.plans.has(planId)) {
+        session.plans.set(planId, 'ready');
+      }
       session.stream.write({ kind: 'planned', planId, outcome });
     }
   }
