--- a/src/gateway/EndpointAgents.ts
+++ b/src/gateway/EndpointAgents.ts
@@ -23,7 +23,7 @@
 
   /**
    * Returns the agent of an address (`ip:port`), and sets its limit of concurrent connections to `maxConnections`.
-   * Also destroys agents that have been unused for a minute.
+   * Also destroys agents that have been unused for a minute and on which no request runs.
    */
   agentFor(address: string, maxConnections: number): http.Agent {
     const now = this.clock.monotonic();
@@ -45,6 +45,11 @@
     this.agents.clear();
   }
 
+  /** Whether a request runs on a connection of the agent or waits for one; `destroy` would end it. */
+  private static isRunning(agent: http.Agent): boolean {
+    return [agent.sockets, agent.requests].some((byName) => Object.keys(byName).length > 0);
+  }
+
   private sweep(now: commonTypes.Millis): void {
     if (now - this.sweptAt < MAX_UNUSED_MS) {
       return;
@@ -52,6 +57,7 @@
     this.sweptAt = now;
     [...this.agents]
       .filter(([, { lastUsed }]) => now - lastUsed > MAX_UNUSED_MS)
+      .filter(([, { agent }]) => !EndpointAgents.isRunning(agent))
       .forEach(([address, { agent }]) => {
         agent.destroy();
         this.agents.delete(address);
