--- a/src/gateway/KeepAliveAgent.test.ts
+++ b/src/gateway/KeepAliveAgent.test.ts
@@ -40,3 +40,48 @@
   expect(sockets.size).toBe(1);
   expect(listeners.at(-1)).toBe(listeners[1]);
 });
+
+/** Starts a server that answers the n-th request after `delays[n]` ms, and announces an idle timeout of 1 s. */
+async function startServer(delays: number[]): Promise<http.Server> {
+  const server = http.createServer((req, res) => {
+    res.setHeader('Keep-Alive', 'timeout=1');
+    setTimeout(() => res.end('ok'), delays.shift() ?? 0);
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return server;
+}
+
+/** Sends a request and resolves with how it ended. */
+function get(server: http.Server, agent: http.Agent, sockets: Set<net.Socket>): Promise<string> {
+  const { port } = server.address() as net.AddressInfo;
+  return new Promise((resolve) => {
+    const req = http.get({ host: '127.0.0.1', port, agent }, (res) => {
+      res.resume();
+      res.on('end', () => resolve('whole'));
+    });
+    req.on('socket', (socket) => sockets.add(socket));
+    req.on('error', (err) => resolve(err.message));
+  });
+}
+
+test('the idle timeout ends no request on a connection that is used again, nor one that waited for it', async () => {
+  const server = await startServer([0, 1200, 1200]);
+  const agent = new keepAliveAgent.KeepAliveAgent(1);
+  const sockets = new Set<net.Socket>();
+  const ends = [await get(server, agent, sockets)];
+  await new Promise((resolve) => {
+    setTimeout(resolve, 300);
+  });
+  ends.push(...(await Promise.all([get(server, agent, sockets), get(server, agent, sockets)])));
+  expect(ends).toEqual(['whole', 'whole', 'whole']);
+  expect(sockets.size).toBe(1);
+  const [socket] = [...sockets];
+  await new Promise((resolve) => {
+    setTimeout(resolve, 800);
+  });
+  expect(socket?.destroyed).toBe(true);
+  agent.destroy();
+  server.close();
+});
