Answer all requests that were read on a connection before a drain closes it

Callers that send a request before the last one is answered lost it in a drain: the first answer carried Connection: close, after which Node closes the connection, although the second request had been read and was executed.

While the server drains, only the answer to the latest request of a connection announces the close. The latest one is recorded when its head arrives, so that requests that are rejected by their head count as well.

The new test of CallerServerDrain.test.ts failed before: one answer for two handled requests.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -112,12 +112,24 @@
     this.unsentAnswers.forEach((res) => res.socket?.setTimeout(idleTimeout));
   }
 
-  /** Records that a head has arrived; `onStalled` is called if the body makes no progress for the idle timeout. */
-  startBody(req: http.IncomingMessage, onStalled: () => void): void {
+  /** Records that the head of a request has arrived. */
+  recordHead(req: http.IncomingMessage): void {
     const connection = this.connections.get(req.socket);
     if (connection !== undefined) {
       connection.isUsed = true;
       connection.latest = req;
+    }
+  }
+
+  /** Whether no head has arrived on the connection of `req` after its own. */
+  isLatest(req: http.IncomingMessage): boolean {
+    return this.connections.get(req.socket)?.latest === req;
+  }
+
+  /** Begins to wait for a body; `onStalled` is called if it makes no progress for the idle timeout. */
+  startBody(req: http.IncomingMessage, onStalled: () => void): void {
+    const connection = this.connections.get(req.socket);
+    if (connection !== undefined) {
       connection.onStalledBody = onStalled;
       this.enterState(connection, 'body');
     }
