Log a call that ends with its caller as cancelled, not as lost by its endpoint

The log named endpoints as losing calls that we had cancelled, because the caller had left or the deadline had passed. sending-ended of a plain call now says what the balancer is told: cancelled.

The test failed before: the line had end=lost. A second test, which passes since caller-disconnected is logged, guards the line of a caller that leaves while its request waits for a plan.

--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -346,6 +346,25 @@
     expect(responder.outcome).toBe('internal');
   });
 
+  test('does not log the call of a caller that left as lost by its endpoint', async () => {
+    reply = () => 'silent';
+    const responder = await request('/write/x', 100);
+    responder.disconnect();
+    await clock.advance(10);
+    const ends = log.events.filter(({ event }) => event === 'sending-ended');
+    expect(ends.map(({ fields }) => fields.end)).not.toContain('lost');
+  });
+
+  test('leaves a line with the id of a request whose caller leaves while it waits for its plan', async () => {
+    // The fake planner never settles this plan.
+    planOutcomes = [new Promise<never>(() => {}) as unknown as coordination.PlanOutcome];
+    const responder = await request('/chat/x', 100);
+    responder.disconnect();
+    await clock.advance(10);
+    expect(gateway.openRequests).toBe(0);
+    expect(log.events.filter(({ fields }) => fields.request === 'r')).not.toEqual([]);
+  });
+
   test('resumes a broken stream after the last event that was forwarded', async () => {
     const ready = (id: string): coordination.PlanOutcome => ({
       kind: 'ready',
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -234,8 +234,9 @@
       unregister();
       scope.attemptsInFlight -= 1;
       const took = deps.clock.monotonic() - started;
-      deps.balancer.recordEnd(endpoint.id, cancelled ? 'cancelled' : outcome, took, load);
-      this.log('sending-ended', { endpoint: endpoint.id, end: outcome, took: Math.round(took) });
+      const end = cancelled ? 'cancelled' : outcome;
+      deps.balancer.recordEnd(endpoint.id, end, took, load);
+      this.log('sending-ended', { endpoint: endpoint.id, end, took: Math.round(took) });
     };
     try {
       const answer = await call.answer;
