Do not reject a request again that ended in the pause before its next plan

A request whose deadline passed in the 60 ms between a lost plan and the next one was answered, and then rejected again: a second line and a second count, with another reason, and a second answer was offered to the connection.

The handler now returns if the request has ended during the pause. The test failed before: two counters of refusals. After: npx vitest run src/gateway, all passed.

--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -73,7 +73,11 @@
     let outcome = await this.plan(avoid);
     while (!scope.isFinished) {
       if (outcome.kind === 'refused') {
-        if (!(await this.mayReplan(outcome))) {
+        const mayReplan = await this.mayReplan(outcome);
+        if (scope.isFinished) {
+          return;
+        }
+        if (!mayReplan) {
           this.rejectRefused(outcome);
           return;
         }
@@ -147,7 +151,7 @@
       return false;
     }
     await this.deps.clock.sleep(REPLAN_DELAY_MS);
-    return !this.scope.isFinished;
+    return true;
   }
 
   private mayRetry(attempt: AttemptOutcome): boolean {
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -365,6 +365,15 @@
     expect(log.events.filter(({ fields }) => fields.request === 'r')).not.toEqual([]);
   });
 
+  test('rejects a request once if it times out in the pause before its next plan', async () => {
+    const lost = { kind: 'refused', reason: 'lost', retryAfter: 60 } as const;
+    planOutcomes = [clock.sleep(980).then(() => lost) as unknown as coordination.PlanOutcome];
+    await request('/chat/x');
+    const refusals = [...metrics.counters].filter(([key]) => key.startsWith('refused'));
+    expect(refusals).toEqual([['refused{reason=timed-out}', 1]]);
+    expect(log.events.filter(({ event }) => event === 'rejected')).toEqual([]);
+  });
+
   test('resumes a broken stream after the last event that was forwarded', async () => {
     const ready = (id: string): coordination.PlanOutcome => ({
       kind: 'ready',
