Answer 502 if the head of an engine's response cannot be written

Callers of engines saw their connection closed for a status that Node refuses to write, e.g. 000 or 099: the response counted as started before its head was written, so that it was aborted.

It now counts as started once the head is written, and the call is cancelled, because nobody would read its body. The request is answered 502 internal and logged as request-failed.

--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -220,6 +220,7 @@
       return outcome;
     } catch (err) {
       if (!(err instanceof types.EndpointCallError)) {
+        call.cancel();
         throw err;
       }
       this.log('sending-ended', { endpoint: endpoint.id, end: 'lost', reason: err.message });
@@ -249,8 +250,9 @@
     }
     const isStream = answer.status >= 200 && answer.status < 300;
     if (!scope.responseStarted) {
-      scope.responseStarted = true;
+      // Throws for a head that cannot be written, in place of which a rejection still can.
       scope.responder.begin(answer);
+      scope.responseStarted = true;
     } else if (!isStream) {
       return { kind: 'cut' };
     }
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -235,8 +235,11 @@
   });
 
   /** Sends a request and advances the clock by `waitMs`. */
-  async function request(target: string, waitMs = 2000): Promise<FakeResponder> {
-    const responder = new FakeResponder();
+  async function request(
+    target: string,
+    waitMs = 2000,
+    responder = new FakeResponder(),
+  ): Promise<FakeResponder> {
     gateway.handle(
       {
         id: 'r',
@@ -346,6 +349,19 @@
     expect(responder.outcome).toBe('internal');
   });
 
+  test('rejects a request if the head of its response cannot be written, rather than close the connection', async () => {
+    planOutcomes = [{ kind: 'ready', endpoint: { ...endpoint('m1'), service: 'm' }, inputs: [] }];
+    reply = () => answerOf(99, 'data: a\n\n');
+    const responder = new FakeResponder();
+    // As CallerResponder does: Node refuses to write this status.
+    responder.begin = () => {
+      throw new RangeError('Invalid status code: 99');
+    };
+    await request('/chat/x', 2000, responder);
+    expect(responder.outcome).not.toBe('cut');
+    expect(responder.outcome).not.toBe('none');
+  });
+
   test('does not log the call of a caller that left as lost by its endpoint', async () => {
     reply = () => 'silent';
     const responder = await request('/write/x', 100);
