Close the connection of a caller that does not read past the deadline of its stream

A caller that stopped reading a stream held its connection and its buffer for ever: past the deadline the entry waited until the error event was written before it closed the connection.

It now waits for half a second in which the caller reads nothing (Node's timer may take that twice). The test failed before: one connection was open two seconds after the request had been settled. After: npx vitest run src/entry/http/CallerServer.test.ts, passed.

--- a/src/entry/http/Answers.ts
+++ b/src/entry/http/Answers.ts
@@ -13,6 +13,8 @@
 }
 
 const MS_PER_SECOND = 1000;
+/** A caller that reads nothing for this long, at most twice as long, does not get the error event of its stream. */
+const ERROR_EVENT_TIMEOUT_MS = 500;
 
 /** Builds the headers of every answer: request id, run state and, where known, configuration version. */
 export function metaHeaders(meta: IAnswerMeta): http.OutgoingHttpHeaders {
@@ -54,8 +56,8 @@
 
 /**
  * Writes an error. Once the headers of a streamed answer have been sent, writes the error as an event and closes
- * the connection, so that the caller cannot take the truncated stream for a complete one. Does nothing when the
- * connection is already closed.
+ * the connection, so that the caller cannot take the truncated stream for a complete one; closes it without the event
+ * if the caller does not read. Does nothing when the connection is already closed.
  */
 export function writeError(
   res: http.ServerResponse,
@@ -67,6 +69,7 @@
   }
   const body = errorBody(err, meta.requestId);
   if (res.headersSent) {
+    res.setTimeout(ERROR_EVENT_TIMEOUT_MS, () => res.destroy());
     res.write(`\n\ndata: ${body}\n\n`, () => res.destroy());
     return;
   }
--- /dev/null
+++ b/src/entry/http/CallerServer.test.ts
@@ -0,0 +1,108 @@
+import type * as http from 'node:http';
+import * as net from 'node:net';
+import * as vitest from 'vitest';
+import * as recordingLog from '../../common/testing/RecordingLogService.js';
+import * as recordingMetrics from '../../common/testing/RecordingMetricsService.js';
+import * as systemClock from '../../common/SystemClock.js';
+import type * as configTypes from '../../config/Types.js';
+import * as requestScope from '../pipeline/RequestScope.js';
+import type * as pipelineTypes from '../pipeline/Types.js';
+import * as callerServer from './CallerServer.js';
+import * as types from './Types.js';
+
+const { afterEach, expect, test } = vitest;
+const DEADLINE_MS = 500;
+const BLOCK = Buffer.alloc(1_000_000, 'x');
+const clock = new systemClock.SystemClock();
+let server: callerServer.CallerServer | undefined;
+
+afterEach(() => {
+  server?.dispose();
+  server = undefined;
+});
+
+/** Starts a server whose requests are answered by `run` and recorded in `settled`; returns its port. */
+function startServer(
+  run: (scope: requestScope.RequestScope) => Promise<pipelineTypes.CallerAnswer>,
+  settled: (string | undefined)[] = [],
+  options: Partial<types.ICallerOptions> = {},
+): Promise<number> {
+  const kind = { name: 'k', deadlineMs: DEADLINE_MS } as unknown as configTypes.IRequestKind;
+  const requests = {
+    ready: true,
+    version: 1,
+    accept: () => {
+      const identity = { id: 'r', workspace: 'w', target: 't', fingerprint: 'f' };
+      const scope = new requestScope.RequestScope(
+        { ...identity, kind, deadlineMs: undefined },
+        clock,
+        clock.monotonic(),
+      );
+      return {
+        scope,
+        version: 1,
+        run: () => run(scope),
+        settle: (err: Error | undefined) => settled.push(err?.message),
+      };
+    },
+  };
+  server = new callerServer.CallerServer(
+    requests,
+    { ...types.DEFAULT_CALLER_OPTIONS, ...options },
+    clock,
+    new recordingLog.RecordingLogService(),
+    new recordingMetrics.RecordingMetricsService(),
+  );
+  return server.listen('127.0.0.1', 0);
+}
+
+/** Resolves once `check` holds or `limit` milliseconds have passed; returns whether it holds. */
+async function until(check: () => boolean, limit: number): Promise<boolean> {
+  const end = performance.now() + limit;
+  while (!check() && performance.now() < end) {
+    await clock.sleep(10);
+  }
+  return check();
+}
+
+/** Connections that the server holds. */
+function countConnections(): Promise<number> {
+  const { server: listening } = server as unknown as { server: http.Server };
+  return new Promise((resolve) => {
+    listening.getConnections((err, count) => resolve(count));
+  });
+}
+
+function post(port: number, rest: string): net.Socket {
+  const socket = net.connect(port, '127.0.0.1');
+  socket.on('error', () => {});
+  socket.write(`POST /v1/pipelines/p HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\n${rest}`);
+  return socket;
+}
+
+async function* endless(): AsyncIterable<Uint8Array> {
+  for (;;) {
+    yield BLOCK;
+    await clock.sleep(1);
+  }
+}
+
+const stream = (chunks: AsyncIterable<Uint8Array>): pipelineTypes.CallerAnswer =>
+  ({
+    kind: 'stream',
+    status: 200,
+    contentType: 'text/event-stream',
+    chunks,
+  }) as unknown as pipelineTypes.CallerAnswer;
+
+test('a stream past its deadline whose caller does not read does not hold its connection for ever', async () => {
+  const settled: (string | undefined)[] = [];
+  const port = await startServer(async () => stream(endless()), settled);
+  const socket = post(port, 'Content-Length: 2\r\n\r\n{}');
+  socket.pause();
+  expect(await until(() => settled.length === 1, DEADLINE_MS + 2000)).toBe(true);
+  await clock.sleep(2000);
+  const count = await countConnections();
+  socket.destroy();
+  expect(count).toBe(0);
+});
