--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -73,7 +73,11 @@
     let outcome = await this.plan(avoid);
     while (!scope.isFinished) {
       if (outcome.kind === 'refused') {
-        if (!(await this.mayReplan(outcome))) {
+        const mayReplan = await this.mayReplan(outcome);
+        if (scope.isFinished) {
+          return;
+        }
+        if (!mayReplan) {
           this.rejectRefused(outcome);
           return;
         }
@@ -147,7 +151,7 @@
       return false;
     }
     await this.deps.clock.sleep(REPLAN_DELAY_MS);
-    return !this.scope.isFinished;
+    return true;
   }
 
   private mayRetry(attempt: AttemptOutcome): boolean {
@@ -216,6 +220,7 @@
       return outcome;
     } catch (err) {
       if (!(err instanceof types.EndpointCallError)) {
+        call.cancel();
         throw err;
       }
       this.log('sending-ended', { endpoint: endpoint.id, end: 'lost', reason: err.message });
@@ -245,8 +250,9 @@
     }
     const isStream = answer.status >= 200 && answer.status < 300;
     if (!scope.responseStarted) {
-      scope.responseStarted = true;
+      // Throws for a head that cannot be written, in place of which a rejection still can.
       scope.responder.begin(answer);
+      scope.responseStarted = true;
     } else if (!isStream) {
       return { kind: 'cut' };
     }
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -142,6 +142,7 @@
   let cancelCount: number;
   let permits: FakePermits;
   let metrics: recordingMetrics.RecordingMetricsService;
+  let log: recordingLog.RecordingLogService;
   let reply: ReplyFn;
   let plans: coordination.IPlanRequest[];
   let planOutcomes: coordination.PlanOutcome[];
@@ -197,6 +198,7 @@
     const limits = { ratio: 0.2, window: 10_000, slack: 100 };
     permits = new FakePermits();
     metrics = new recordingMetrics.RecordingMetricsService();
+    log = new recordingLog.RecordingLogService();
     gateway = new gateways.Gateway({
       clock,
       random,
@@ -205,7 +207,7 @@
       permits,
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       budget: new retryBudget.RetryBudget(limits, clock, () => 1),
-      logService: new recordingLog.RecordingLogService(),
+      logService: log,
       metrics,
       entryVmCount: () => 1,
     });
@@ -233,8 +235,11 @@
   });
 
   /** Sends a request and advances the clock by `waitMs`. */
-  async function request(target: string, waitMs = 2000): Promise<FakeResponder> {
-    const responder = new FakeResponder();
+  async function request(
+    target: string,
+    waitMs = 2000,
+    responder = new FakeResponder(),
+  ): Promise<FakeResponder> {
     gateway.handle(
       {
         id: 'r',
@@ -323,6 +328,68 @@
     expect(gateway.openRequests).toBe(0);
   });
 
+  test('survives a call that throws on a safe route, and answers its caller', async () => {
+    const errors: unknown[] = [];
+    const record = (err: unknown): void => {
+      errors.push(err);
+    };
+    const others = process.listeners('unhandledRejection');
+    process.removeAllListeners('unhandledRejection');
+    process.on('unhandledRejection', record);
+    reply = () => {
+      throw new TypeError('Invalid character in header content ["Tenant"]');
+    };
+    const responder = await request('/read/x');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    process.removeListener('unhandledRejection', record);
+    others.forEach((listener) => process.on('unhandledRejection', listener));
+    expect(errors).toEqual([]);
+    expect(responder.outcome).toBe('internal');
+  });
+
+  test('rejects a request if the head of its response cannot be written, rather than close the connection', async () => {
+    planOutcomes = [{ kind: 'ready', endpoint: { ...endpoint('m1'), service: 'm' }, inputs: [] }];
+    reply = () => answerOf(99, 'data: a\n\n');
+    const responder = new FakeResponder();
+    // As CallerResponder does: Node refuses to write this status.
+    responder.begin = () => {
+      throw new RangeError('Invalid status code: 99');
+    };
+    await request('/chat/x', 2000, responder);
+    expect(responder.outcome).not.toBe('cut');
+    expect(responder.outcome).not.toBe('none');
+  });
+
+  test('does not log the call of a caller that left as lost by its endpoint', async () => {
+    reply = () => 'silent';
+    const responder = await request('/write/x', 100);
+    responder.disconnect();
+    await clock.advance(10);
+    const ends = log.events.filter(({ event }) => event === 'sending-ended');
+    expect(ends.map(({ fields }) => fields.end)).not.toContain('lost');
+  });
+
+  test('leaves a line with the id of a request whose caller leaves while it waits for its plan', async () => {
+    // The fake planner never settles this plan.
+    planOutcomes = [new Promise<never>(() => {}) as unknown as coordination.PlanOutcome];
+    const responder = await request('/chat/x', 100);
+    responder.disconnect();
+    await clock.advance(10);
+    expect(gateway.openRequests).toBe(0);
+    expect(log.events.filter(({ fields }) => fields.request === 'r')).not.toEqual([]);
+  });
+
+  test('rejects a request once if it times out in the pause before its next plan', async () => {
+    const lost = { kind: 'refused', reason: 'lost', retryAfter: 60 } as const;
+    planOutcomes = [clock.sleep(980).then(() => lost) as unknown as coordination.PlanOutcome];
+    await request('/chat/x');
+    const refusals = [...metrics.counters].filter(([key]) => key.startsWith('refused'));
+    expect(refusals).toEqual([['refused{reason=timed-out}', 1]]);
+    expect(log.events.filter(({ event }) => event === 'rejected')).toEqual([]);
+  });
+
   test('resumes a broken stream after the last event that was forwarded', async () => {
     const ready = (id: string): coordination.PlanOutcome => ({
       kind: 'ready',
