Do not pass off a torn event stream as whole, and bound its events

Cause: EventFramer.finish handed the last partial event to the caller whenever the framing ended properly, CR line ends were not seen as ends of events, and an aborted response without length ended with a clean close, which marks it as complete. A partial event was buffered without limit. An error response of an engine was begun before it was read, so that a retry wrote events under its head.

Before (same test): all 24 torn streams (chunks and no length, LF, CRLF and CR, in a line and before the blank line, resumable and not) reached the caller as complete with the torn event; a reset stream without length looked complete; an endless event without length ended as a complete response; an endless error body gave a complete, empty 500.

Cuts are logged with the reason and counted as `answer_lost`.

--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -2,6 +2,7 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as coordination from '../coordination/Types.js';
 import type * as routing from '../routing/Types.js';
+import * as answerBody from './AnswerBody.js';
 import * as eventRelay from './EventRelay.js';
 import type * as requestScope from './RequestScope.js';
 import * as types from './Types.js';
@@ -34,7 +35,7 @@
    */
   | { readonly kind: 'not-run'; readonly inputsLost: boolean; readonly isLimited: boolean }
   /** The response is truncated or not authentic, or it is an error response after the stream had started. */
-  | { readonly kind: 'cut' }
+  | { readonly kind: 'cut'; readonly reason: string }
   /** The request was sent, at least in part, but no response arrived. */
   | { readonly kind: 'lost' };
 
@@ -207,11 +208,16 @@
     const call = deps.caller.send(this.buildCall(endpoint, inputs));
     const unregister = scope.onFinish(() => call.cancel());
     try {
-      const outcome = await this.relayAnswer(await call.answer);
+      const answer = await call.answer;
+      const outcome = await this.relayAnswer(answer);
       const took = Math.round(deps.clock.monotonic() - started);
-      this.log('sending-ended', { endpoint: endpoint.id, end: outcome.kind, took });
+      const reason = outcome.kind === 'cut' ? outcome.reason : undefined;
+      this.log('sending-ended', { endpoint: endpoint.id, end: outcome.kind, took, reason });
       if (outcome.kind === 'cut') {
+        deps.metrics.count('answer_lost', { kind: 'engine' });
         call.cancel();
+      } else if (outcome.kind === 'not-run') {
+        void this.drainRejection(answer, call, endpoint.id);
       }
       return outcome;
     } catch (err) {
@@ -219,6 +225,7 @@
         throw err;
       }
       this.log('sending-ended', { endpoint: endpoint.id, end: 'lost', reason: err.message });
+      deps.metrics.count('answer_lost', { kind: 'engine' });
       if (err.sent) {
         scope.mayHaveRun = true;
         return { kind: 'lost' };
@@ -235,39 +242,80 @@
     const { scope, deps } = this;
     if (answer.isNotRun) {
       this.executions -= 1;
-      answer.body.resume();
       const inputsLost = !answer.isWrongEndpoint && answer.status === 409;
       return { kind: 'not-run', inputsLost, isLimited: answer.namesRateLimit };
     }
     scope.mayHaveRun = true;
     if (!answer.isGenuine) {
-      return { kind: 'cut' };
+      return { kind: 'cut', reason: 'not an answer to this request' };
     }
     const isStream = answer.status >= 200 && answer.status < 300;
+    if (!isStream) {
+      return this.relayFailure(answer);
+    }
     if (!scope.responseStarted) {
       scope.responseStarted = true;
       scope.responder.begin(answer);
-    } else if (!isStream) {
-      return { kind: 'cut' };
     }
     const end = await this.relay.relay(answer, () => {
       deps.planner.markStarted(this.planId);
       this.inputsReleased = true;
       this.log('first-event', {});
     });
-    if (end === 'over') {
+    if (end.kind === 'cut') {
+      return end;
+    }
+    if (end.kind === 'whole') {
+      scope.responder.end();
+      this.finishAnswered(answer);
+    }
+    return { kind: 'done' };
+  }
+
+  /** Passes on an error response; it is read whole first, so that another engine can answer if it breaks off. */
+  private async relayFailure(answer: types.IEndpointAnswer): Promise<AttemptOutcome> {
+    const { scope } = this;
+    if (scope.responseStarted) {
+      return { kind: 'cut', reason: `status ${answer.status} after the stream had started` };
+    }
+    const result = await answerBody.readBody(
+      answer.body,
+      () => answer.isComplete(),
+      answerBody.MAX_BODY_BYTES,
+    );
+    if (scope.isFinished) {
       return { kind: 'done' };
     }
-    if (end === 'cut') {
-      return { kind: 'cut' };
+    if ('fault' in result) {
+      return { kind: 'cut', reason: result.fault };
     }
-    scope.responder.end();
-    this.log('answered', { status: answer.status });
-    deps.planner.markEnded(this.planId);
-    scope.finish();
+    this.deps.planner.markStarted(this.planId);
+    this.inputsReleased = true;
+    scope.responder.answer(answer, result.body);
+    this.finishAnswered(answer);
     return { kind: 'done' };
   }
 
+  private finishAnswered(answer: types.IEndpointAnswer): void {
+    this.log('answered', { status: answer.status });
+    this.deps.planner.markEnded(this.planId);
+    this.scope.finish();
+  }
+
+  /** Reads the body of a rejection; ends the call if the body does not end. */
+  private async drainRejection(
+    answer: types.IEndpointAnswer,
+    call: types.IStartedCall,
+    endpointId: string,
+  ): Promise<void> {
+    const reason = await answerBody.drainRejection(answer, this.deps.clock);
+    if (reason !== undefined) {
+      call.cancel();
+      this.log('rejection-cut', { endpoint: endpointId, reason });
+      this.deps.metrics.count('answer_lost', { kind: 'rejection' });
+    }
+  }
+
   private buildCall(endpoint: routing.IEndpoint, inputs: readonly string[]): types.IEndpointCall {
     const { scope, deps } = this;
     return {
--- a/src/gateway/EventRelay.ts
+++ b/src/gateway/EventRelay.ts
@@ -2,11 +2,17 @@
 import type * as requestScope from './RequestScope.js';
 import type * as types from './Types.js';
 
-/**
- * How the relay of one endpoint's response ended: `whole` if the complete response was forwarded, `cut` if the
- * endpoint's connection broke before its end, `over` if the request ended meanwhile.
- */
-export type RelayOutcome = 'whole' | 'cut' | 'over';
+/** Maximum size of one event, which is buffered until it is complete; a stream with a larger one counts as broken. */
+const MAX_EVENT_BYTES = 1_048_576;
+
+/** How the relay of one endpoint's response ended. */
+export type RelayEnd =
+  /** The complete response was forwarded. */
+  | { readonly kind: 'whole' }
+  /** The response broke off, ended inside an event, or held an event that is too large. */
+  | { readonly kind: 'cut'; readonly reason: string }
+  /** The request ended meanwhile. */
+  | { readonly kind: 'over' };
 
 /**
  * Forwards the server-sent events of an endpoint to the caller as they arrive. Forwards complete events only, so that
@@ -27,13 +33,13 @@
    * Forwards the body of `answer` until it ends or the request does. Calls `onFirstData` once, when the first bytes of
    * the body arrive. Pauses while the caller's write buffer is full.
    */
-  async relay(answer: types.IEndpointAnswer, onFirstData: () => void): Promise<RelayOutcome> {
+  async relay(answer: types.IEndpointAnswer, onFirstData: () => void): Promise<RelayEnd> {
     const { scope } = this;
     let isFirst = true;
     try {
       for await (const chunk of answer.body) {
         if (scope.isFinished) {
-          return 'over';
+          return { kind: 'over' };
         }
         if (isFirst) {
           isFirst = false;
@@ -43,24 +49,29 @@
         if (events.length > 0 && !scope.responder.write(events)) {
           await this.awaitDrain();
         }
+        if (this.framer.partialBytes > MAX_EVENT_BYTES) {
+          return this.endBroken(`event exceeds ${MAX_EVENT_BYTES} bytes`);
+        }
       }
-    } catch {
-      // The connection broke: handled like a truncated body. The request handler logs the outcome.
-      this.framer.discard();
-      return scope.isFinished ? 'over' : 'cut';
-    }
-    if (scope.isFinished) {
-      return 'over';
+    } catch (err) {
+      return this.endBroken((err as Error).message);
     }
     if (!answer.isComplete()) {
-      this.framer.discard();
-      return 'cut';
+      return this.endBroken('connection broke');
     }
-    const lastEvents = this.framer.finish();
-    if (lastEvents.length > 0) {
-      scope.responder.write(lastEvents);
-    }
-    return 'whole';
+    const { partialBytes } = this.framer;
+    return partialBytes > 0
+      ? this.endBroken(`ended inside an event after ${partialBytes} bytes of it`)
+      : this.endWhole();
+  }
+
+  private endWhole(): RelayEnd {
+    return { kind: this.scope.isFinished ? 'over' : 'whole' };
+  }
+
+  private endBroken(reason: string): RelayEnd {
+    this.framer.discard();
+    return this.scope.isFinished ? { kind: 'over' } : { kind: 'cut', reason };
   }
 
   private awaitDrain(): Promise<void> {
