Do not pass on a reset body of an endpoint on our own interface, and end failures without end

Cause: Node marks a body without a length as complete after a reset, too, and the body of a failure was resumed without a limit.

Before (trial with a stand-in): the caller got the part that had arrived as a whole answer; of an endless 503 body 134 MB were read and the connection stayed open. Both new tests failed on the code before.

Change: a body whose connection broke is lost; the body of a failure is dropped up to 64 KiB, then the connection is destroyed. After: the 13 tests of src/entry/endpoints pass.

--- a/src/entry/endpoints/HttpEndpointClient.test.ts
+++ b/src/entry/endpoints/HttpEndpointClient.test.ts
@@ -130,6 +130,33 @@
     vitest.expect((await failureOf(readAll(unmarked))).failure).toBe('connection-lost');
   });
 
+  vitest.it('does not pass on a body without a length whose connection is reset', async () => {
+    const endpoint = await serve('');
+    server.removeAllListeners('connection');
+    server.on('connection', (socket) => {
+      socket.on('error', () => {});
+      socket.write(`${HEAD}\r\npart`);
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+    vitest.expect((await failureOf(call(endpoint))).failure).toBe('connection-lost');
+    vitest.expect((await failureOf(readAll(endpoint))).failure).toBe('connection-lost');
+  });
+
+  vitest.it('closes the connection of a failure whose body does not end', async () => {
+    const endpoint = await serve('');
+    server.removeAllListeners('connection');
+    const closed = new Promise<void>((resolve) => {
+      server.on('connection', (socket) => {
+        socket.on('error', () => {});
+        socket.resume();
+        socket.on('close', () => resolve());
+        socket.write(`HTTP/1.1 503 No\r\nx-request-id: call-1\r\n\r\n${'a'.repeat(65_537)}`);
+      });
+    });
+    vitest.expect((await failureOf(call(endpoint))).failure).toBe('endpoint-refused');
+    await closed;
+  });
+
   vitest.it('closes the connection when its signal aborts', async () => {
     const endpoint = await serve(EVENTS);
     const abort = new AbortController();
--- a/src/entry/endpoints/HttpEndpointClient.ts
+++ b/src/entry/endpoints/HttpEndpointClient.ts
@@ -28,6 +28,9 @@
 /** Bytes kept from the end of a stream; enough for the end mark and the line breaks after it. */
 const END_MARK_WINDOW_BYTES = 32;
 
+/** Maximum size of the body of a failure, which is read only to keep its connection. */
+const MAX_DROPPED_BYTES = 65_536;
+
 const MIN_SERVER_ERROR_STATUS = 500;
 const REFUSAL_STATUSES = [429, 503];
 
@@ -128,11 +131,11 @@
       throw this.statusError(pendingCall, 'answer-mismatch', status);
     }
     if (REFUSAL_STATUSES.includes(status)) {
-      res.resume();
+      dropBody(res);
       throw this.statusError(pendingCall, 'endpoint-refused', status);
     }
     if (status >= MIN_SERVER_ERROR_STATUS) {
-      res.resume();
+      dropBody(res);
       throw this.statusError(pendingCall, 'endpoint-error', status);
     }
   }
@@ -152,9 +155,13 @@
           res.destroy(new Error('answer exceeds the size limit'));
         }
       });
-      res.once('end', () =>
-        resolve(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks)),
-      );
+      res.once('end', () => {
+        if (isReset(res)) {
+          reject(failureOf(pendingCall, signal));
+        } else {
+          resolve(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks));
+        }
+      });
       res.once('error', (err) => reject(failureOf(pendingCall, signal, err)));
       res.once('close', () => {
         if (!res.complete) {
@@ -181,7 +188,7 @@
       }
     });
     res.once('end', () => {
-      if (isEventStream(res) && !endsWithEndMark(tail)) {
+      if (isReset(res) || (isEventStream(res) && !endsWithEndMark(tail))) {
         queue.fail(failureOf(pendingCall, signal));
       } else {
         queue.end();
@@ -218,6 +225,23 @@
   req.once('close', () => signal.removeEventListener('abort', cancel));
 }
 
+/** Whether the connection broke. Node reports the end of a body without a length after a reset, too. */
+function isReset(res: http.IncomingMessage): boolean {
+  return res.socket.errored !== null;
+}
+
+/** Reads a body without keeping it; closes its connection if the body is too long. */
+function dropBody(res: http.IncomingMessage): void {
+  let droppedBytes = 0;
+  res.on('error', () => {});
+  res.on('data', (chunk: Buffer) => {
+    droppedBytes += chunk.length;
+    if (droppedBytes > MAX_DROPPED_BYTES) {
+      res.destroy();
+    }
+  });
+}
+
 function requestHeaders(call: entryTypes.IEndpointCall): http.OutgoingHttpHeaders {
   return {
     ...call.headers,
