Do not end a request for the bytes behind it in the product's entry

Callers that send more bytes behind a request, e.g. a broken head, got 400 in place of the answer, while the request ran: the rejection of unparsed input was written to the connection at once.

OpenAnswers tracks the requests that wait on each connection; the rejection follows their answers, and leaves a line. A body that is cut or malformed is rejected at once, as before.

--- a/src/entry/http/CallerServer.test.ts
+++ b/src/entry/http/CallerServer.test.ts
@@ -106,3 +106,20 @@
   socket.destroy();
   expect(count).toBe(0);
 });
+
+test('bytes behind a request do not end it while it waits for its answer', async () => {
+  const port = await startServer(async () => {
+    await clock.sleep(300);
+    return { kind: 'whole', status: 200, contentType: 'text/plain', body: Buffer.from('whole') };
+  });
+  const socket = post(port, 'Content-Length: 2\r\n\r\n{}');
+  let text = '';
+  socket.on('data', (bytes: Buffer) => {
+    text += bytes.toString('latin1');
+  });
+  await clock.sleep(100);
+  socket.write('\0\0\0\0\r\n\r\n');
+  await until(() => text.includes('whole'), 1000);
+  socket.destroy();
+  expect(text).toMatch(/^HTTP\/1.1 200 [^]*whole/);
+});
--- a/src/entry/http/CallerServer.ts
+++ b/src/entry/http/CallerServer.ts
@@ -8,6 +8,7 @@
 import * as callerBody from './CallerBody.js';
 import * as callerHeaders from './CallerHeaders.js';
 import * as callerRoutes from './CallerRoutes.js';
+import * as openAnswers from './OpenAnswers.js';
 import type * as services from './Services.js';
 import type * as types from './Types.js';
 
@@ -17,6 +18,8 @@
 export class CallerServer implements commonTypes.IDisposable {
   private readonly server: http.Server;
 
+  private readonly openAnswers = new openAnswers.OpenAnswers();
+
   private draining = false;
 
   private inFlight = 0;
@@ -79,6 +82,7 @@
     const arrivalTime = this.clock.monotonic();
     const requestId = callerHeaders.requestIdOf(req);
     this.inFlight += 1;
+    this.openAnswers.add(req, res);
     // The 'close' handler deals with aborted connections; without a listener the 'error' event would throw.
     res.on('error', () => {});
     res.once('close', () => this.onAnswerClosed());
@@ -186,7 +190,10 @@
     return new requestError.RequestError('internal', message, { run: 'unknown', cause: err });
   }
 
-  /** Answers input that is not valid HTTP and closes the connection, since its framing is lost. */
+  /**
+   * Answers input that is not valid HTTP, after the requests before it, and closes the connection, since its framing is
+   * lost.
+   */
   private refuseMalformed(err: NodeJS.ErrnoException, socket: stream.Duplex): void {
     if (!socket.writable || err.code === 'ECONNRESET') {
       socket.destroy();
@@ -196,6 +203,7 @@
     const message = tooLarge ? 'the headers are too large' : 'the input is not an HTTP/1.1 request';
     const failure = new requestError.RequestError('bad-header', message, { run: 'not-run' });
     this.countFailure(failure);
+    this.log.info('refused', { reason: failure.code, cause: err.code });
     const body = answers.errorBody(failure, callerHeaders.newRequestId());
     const head = [
       `HTTP/1.1 ${tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request'}`,
@@ -203,7 +211,7 @@
       'content-type: application/json',
       `content-length: ${Buffer.byteLength(body)}`,
     ];
-    socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+    this.openAnswers.endAfterAnswers(socket, `${head.join('\r\n')}\r\n\r\n${body}`);
   }
 
   private countFailure(err: requestError.RequestError): void {
