Settle a request whose caller leaves while a chunk arrives

A request of the product's entry stayed open for ever if its caller left just before a chunk that filled the write buffer: waitForDrain listened for the abort of a signal that was aborted already.

It now rejects at once in that case. The test failed before: the request was not settled within two seconds. After: npx vitest run src/entry/http, 5 passed.

--- a/src/entry/http/CallerServer.test.ts
+++ b/src/entry/http/CallerServer.test.ts
@@ -107,6 +107,23 @@
   expect(count).toBe(0);
 });
 
+test('a request is settled if its caller leaves in the moment in which a chunk arrives', async () => {
+  const settled: (string | undefined)[] = [];
+  async function* late(scope: requestScope.RequestScope): AsyncIterable<Uint8Array> {
+    yield Buffer.from('first');
+    // The chunk that was on its way when the caller left.
+    await until(() => scope.ctx.signal.aborted, 5000);
+    yield Buffer.from('second');
+  }
+  const port = await startServer(async (scope) => stream(late(scope)), settled);
+  const socket = post(port, 'Content-Length: 2\r\n\r\n{}');
+  await new Promise((resolve) => {
+    socket.once('data', resolve);
+  });
+  socket.destroy();
+  expect(await until(() => settled.length === 1, 2000)).toBe(true);
+});
+
 test('bytes behind a request do not end it while it waits for its answer', async () => {
   const port = await startServer(async () => {
     await clock.sleep(300);
--- a/src/entry/http/CallerServer.ts
+++ b/src/entry/http/CallerServer.ts
@@ -232,6 +232,10 @@
     const abort = () => {
       reject(signal.reason as Error);
     };
+    if (signal.aborted) {
+      abort();
+      return;
+    }
     signal.addEventListener('abort', abort, { once: true });
     res.once('drain', () => {
       signal.removeEventListener('abort', abort);
