--- a/src/entry/endpoints/HttpEndpointClient.test.ts
+++ b/src/entry/endpoints/HttpEndpointClient.test.ts
@@ -130,6 +130,20 @@
     vitest.expect((await failureOf(readAll(unmarked))).failure).toBe('connection-lost');
   });
 
+  vitest.it(
+    'fails a call whose endpoint offers to switch protocols, at its deadline at the latest',
+    async () => {
+      const endpoint = await serve(
+        'HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n',
+      );
+      const failed = failureOf(call(endpoint, AbortSignal.timeout(500))).then(() => 'failed');
+      const late = new Promise<string>((resolve) => {
+        setTimeout(() => resolve('late'), 3000);
+      });
+      vitest.expect(await Promise.race([failed, late])).toBe('failed');
+    },
+  );
+
   vitest.it('closes the connection when its signal aborts', async () => {
     const endpoint = await serve(EVENTS);
     const abort = new AbortController();
--- a/src/entry/endpoints/HttpEndpointClient.ts
+++ b/src/entry/endpoints/HttpEndpointClient.ts
@@ -117,6 +117,8 @@
     return new Promise((resolve, reject) => {
       pendingCall.req.once('response', resolve);
       pendingCall.req.on('error', (err) => reject(failureOf(pendingCall, signal, err)));
+      // Node closes the request without an error if the endpoint answers 101.
+      pendingCall.req.once('close', () => reject(failureOf(pendingCall, signal)));
     });
   }
 
