End no later plan by the retention timer of an earlier one

A plan whose request id was used again could be refused as lost in the middle: the retention timer of the earlier plan stayed armed and removed the plan of the same id.

The timer ends with its plan.

--- a/src/coordination/Coordinator.test.ts
+++ b/src/coordination/Coordinator.test.ts
@@ -141,6 +141,18 @@
     expect(caller.producedHandles.filter((handle) => handle.startsWith('r/0'))).toHaveLength(2);
   });
 
+  it('ends no later plan by the timer of an earlier one that has ended', async () => {
+    const coordinator = makeCoordinator();
+    void coordinator.plan(makePlanRequest({ deadlineLeft: 1000, stages: [], pieces: [] }));
+    await clock.advance(20);
+    coordinator.markEnded('r#1');
+    await clock.advance(2950);
+    // A caller that sends the same request id again gets a plan of the same id.
+    const planned = coordinator.plan(makePlanRequest());
+    await clock.advance(3 * CALL_MS);
+    expect(await planned).toMatchObject({ kind: 'ready' });
+  });
+
   it('frees unneeded results of a lost coordinator at the endpoints that are still listed', async () => {
     const coordinator = makeCoordinator();
     coordinator.freeResults([
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -26,6 +26,8 @@
   readonly req: types.IPlanRequest;
   readonly job: stageJob.StageJob;
   readonly requestedAt: commonTypes.Millis;
+  /** Removes the plan if no end is reported. */
+  readonly retention: commonTypes.IDisposable;
   resolve: ((outcome: types.PlanOutcome) => void) | undefined;
   /** Results of the last stages, kept until the engine has read them; undefined before all stages are complete. */
   results: readonly batching.IHeldResult[] | undefined;
@@ -129,9 +131,12 @@
         },
       );
       const { planId, avoid } = req;
-      this.plans.set(planId, { req, job, requestedAt: now, resolve, results: undefined, avoid });
+      const retention = this.deps.clock.setTimer(req.deadlineLeft + PLAN_RETENTION_MS, () =>
+        this.removePlan(planId),
+      );
+      const plan = { req, job, requestedAt: now, retention, resolve, results: undefined, avoid };
+      this.plans.set(planId, plan);
       this.latestPlanIds.set(req.requestId, planId);
-      this.deps.clock.setTimer(req.deadlineLeft + PLAN_RETENTION_MS, () => this.removePlan(planId));
       job.start(held);
     });
   }
@@ -351,6 +356,7 @@
     if (plan === undefined) {
       return;
     }
+    plan.retention.dispose();
     this.plans.delete(planId);
     this.placementQueue.delete(planId);
     if (this.latestPlanIds.get(plan.req.requestId) === planId) {
