Quarantine prompt parts and requests that crash model engines

Callers saw: streams that broke again and again, because requests with one part of a prompt crashed each engine that began to answer them, and nothing on the way of platform requests told such requests from others.

Cause: the coordinator only ejected the engine. No VM kept which requests were at an engine when it crashed.

The coordinator refuses plans, reassignments and resumed streams of quarantined requests, and entry VMs refuse them before planning and cancel those that wait at an engine. The feed carries the crashes as it does rate limits.

`reassign` now names the kind of failure, and `markStarted` says whether the answer is a success: an error response proves nothing.

--- a/bench/stages/FailoverPlanner.ts
+++ b/bench/stages/FailoverPlanner.ts
@@ -1,3 +1,4 @@
+import * as blame from '../../src/blame/testing/Blame.js';
 import type * as batching from '../../src/batching/Types.js';
 import * as recordingLog from '../../src/common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../../src/common/testing/RecordingMetricsService.js';
@@ -80,8 +81,12 @@
   }
 
   /** @inheritdoc */
-  reassign(planId: string, failed: string, isHealthy: boolean): Promise<coordination.PlanOutcome> {
-    return this.coordinator?.reassign(planId, failed, isHealthy) ?? Promise.resolve(LOST);
+  reassign(
+    planId: string,
+    failed: string,
+    failure: coordination.EngineFailure,
+  ): Promise<coordination.PlanOutcome> {
+    return this.coordinator?.reassign(planId, failed, failure) ?? Promise.resolve(LOST);
   }
 
   /** @inheritdoc */
@@ -90,10 +95,10 @@
   }
 
   /** @inheritdoc */
-  markStarted(firstId: string): void {
+  markStarted(firstId: string, isSuccess: boolean): void {
     const planId = this.current.get(firstId) ?? firstId;
     if (this.held.belongsTo(planId, this.session)) {
-      this.coordinator?.markStarted(planId);
+      this.coordinator?.markStarted(planId, isSuccess);
     } else if (this.failover.handsOver) {
       this.coordinator?.freeResults(this.held.resultsOf(planId));
     }
@@ -133,6 +138,7 @@
       clock: this.clock,
       caller: this.caller,
       directory: this.directory,
+      ...blame.makeBlame(this.clock),
       rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
       logService: new recordingLog.RecordingLogService(),
       metrics: new recordingMetrics.RecordingMetricsService(),
--- a/bench/stages/Play.ts
+++ b/bench/stages/Play.ts
@@ -1,3 +1,4 @@
+import * as blame from '../../src/blame/testing/Blame.js';
 import type * as batching from '../../src/batching/Types.js';
 import * as seededRandom from '../../src/common/SeededRandom.js';
 import * as recordingLog from '../../src/common/testing/RecordingLogService.js';
@@ -50,6 +51,7 @@
     clock,
     caller,
     directory,
+    ...blame.makeBlame(clock),
     rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
     logService: new recordingLog.RecordingLogService(),
     metrics: new recordingMetrics.RecordingMetricsService(),
@@ -171,7 +173,7 @@
       return undefined;
     }
     await clock.sleep(FIRST_TOKEN_MS + kind.tokens / TOKENS_PER_MS);
-    planner.markStarted(id);
+    planner.markStarted(id, true);
     const took = clock.monotonic() - started;
     if (took <= kind.deadlineMs) {
       tally[took <= kind.goalMs ? 'inTime' : 'late'] += 1;
--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -1,4 +1,6 @@
 import * as grpc from '@grpc/grpc-js';
+import * as blameTable from '../blame/BlameTable.js';
+import type * as blame from '../blame/Types.js';
 import * as disposableStore from '../common/DisposableStore.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
@@ -67,6 +69,8 @@
   readonly stageCaller: batching.IStageCaller;
   /** Rate limits that responses to the stage caller state. */
   readonly rateLimitTable: rateLimitTable.RateLimitTable;
+  /** Checks whether engines that fail requests have crashed. */
+  readonly crashConfirmer: blame.ICrashConfirmer;
   readonly source: endpointPoller.IEndpointSource;
   /** Parses the text of a routing document; throws when it is invalid. */
   readonly parse: (text: string) => routing.IRoutingTable;
@@ -112,7 +116,8 @@
     const log = await openLog(options, dependencies, state, transport);
     disposables.add(log);
     const directory = new endpointDirectory.EndpointDirectory();
-    const { stageCaller: caller, metrics, rateLimitTable: limits } = dependencies;
+    const { stageCaller: caller, metrics, rateLimitTable: limits, crashConfirmer } = dependencies;
+    const crashes = new blameTable.BlameTable({ clock, logService, metrics });
     const rateLimiter = new sharedRateLimiter.SharedRateLimiter(
       limits,
       clock,
@@ -127,7 +132,17 @@
     );
     directory.onChange(({ endpoints }) => limits.retain(new Set(endpoints.map(({ id }) => id))));
     const coordinator = disposables.add(
-      new coordinators.Coordinator({ clock, caller, directory, rateLimiter, logService, metrics }),
+      new coordinators.Coordinator({
+        clock,
+        caller,
+        directory,
+        rateLimiter,
+        blameTable: crashes,
+        crashConfirmer,
+        admitsTrials: true,
+        logService,
+        metrics,
+      }),
     );
     followDocument(state, coordinator, dependencies);
     const feed = disposables.add(
@@ -138,6 +153,7 @@
         coordinator,
         rateLimitTable: limits,
         rateLimiter,
+        blameTable: crashes,
         clock,
         logService,
       }),
--- a/src/coordination/Coordinator.test.ts
+++ b/src/coordination/Coordinator.test.ts
@@ -1,4 +1,5 @@
 import * as vitest from 'vitest';
+import * as blame from '../blame/testing/Blame.js';
 import type * as batching from '../batching/Types.js';
 import * as manualClock from '../common/testing/ManualClock.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
@@ -78,6 +79,7 @@
       clock,
       caller,
       directory,
+      ...blame.makeBlame(clock),
       rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
       logService: new recordingLog.RecordingLogService(),
       metrics: new recordingMetrics.RecordingMetricsService(),
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -2,24 +2,21 @@
 import * as stageScheduler from '../batching/StageScheduler.js';
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
-import type * as commonServices from '../common/services/Services.js';
 import * as enginePlacer from '../placing/EnginePlacer.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import * as placementQueue from './PlacementQueue.js';
 import * as planAdmission from './PlanAdmission.js';
+import * as planQuarantine from './PlanQuarantine.js';
 import * as resultReleaser from './ResultReleaser.js';
 import type * as types from './Types.js';
 
 /** Components that a coordinator uses. */
-export interface ICoordinatorDependencies {
-  readonly clock: commonTypes.IClock;
+export interface ICoordinatorDependencies extends planQuarantine.IPlanQuarantineDependencies {
   readonly caller: batching.IStageCaller;
   readonly directory: endpointDirectory.EndpointDirectory;
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
-  readonly logService: commonServices.ILogService;
-  readonly metrics: commonServices.IMetricsService;
 }
 
 interface IPlanState {
@@ -57,6 +54,8 @@
 
   private readonly admission: planAdmission.PlanAdmission;
 
+  private readonly quarantine: planQuarantine.PlanQuarantine;
+
   private routingTable: routing.IRoutingTable | undefined;
 
   private readonly subscription: commonTypes.IDisposable;
@@ -75,6 +74,7 @@
       placerOf: (service) => this.placers.get(service),
       unplacedPlans: (service, priority) => this.countUnplaced(service, priority),
     });
+    this.quarantine = new planQuarantine.PlanQuarantine(deps, () => this.refuseQuarantined());
   }
 
   /** Applies a version of the configuration. */
@@ -94,8 +94,9 @@
     onResult: types.ResultListener = () => {},
   ): Promise<types.PlanOutcome> {
     const held = [...req.held, ...this.takeOverResults(req.requestId)];
-    const refusal = this.admission.check(req, held);
+    const refusal = this.quarantine.check(req) ?? this.admission.check(req, held);
     if (refusal !== undefined) {
+      this.quarantine.recordEnded(req.planId, 'left');
       this.freeResults(held);
       this.logOutcome(req, refusal, 0);
       return Promise.resolve(refusal);
@@ -160,11 +161,21 @@
   }
 
   /** @inheritdoc */
-  reassign(planId: string, failed: string, isHealthy: boolean): Promise<types.PlanOutcome> {
+  reassign(
+    planId: string,
+    failed: string,
+    failure: types.EngineFailure,
+  ): Promise<types.PlanOutcome> {
     const plan = this.plans.get(planId);
-    if (!isHealthy) {
+    if (failure !== 'limited') {
       this.recordFailure(planId, failed);
     }
+    this.quarantine.recordEnded(planId, failure === 'broken' ? 'broken' : 'not-run', failed);
+    const refusal = plan === undefined ? undefined : this.quarantine.check(plan.req);
+    if (refusal !== undefined) {
+      this.removePlan(planId);
+      return Promise.resolve(refusal);
+    }
     if (plan?.results === undefined || this.hasExpiringResults(plan)) {
       this.removePlan(planId);
       return Promise.resolve({
@@ -186,7 +197,10 @@
   }
 
   /** @inheritdoc */
-  markStarted(planId: string): void {
+  markStarted(planId: string, isSuccess: boolean): void {
+    if (isSuccess) {
+      this.quarantine.recordStarted(planId);
+    }
     const plan = this.plans.get(planId);
     if (plan !== undefined) {
       this.placers.get(plan.req.service)?.markStarted(planId);
@@ -200,6 +214,7 @@
     if (failed !== undefined) {
       this.recordFailure(planId, failed);
     }
+    this.quarantine.recordEnded(planId, failed === undefined ? 'whole' : 'broken', failed);
     this.removePlan(planId);
   }
 
@@ -209,6 +224,7 @@
     [...this.plans.keys()].forEach((id) => this.removePlan(id));
     this.schedulers.forEach((scheduler) => scheduler.dispose());
     this.placementQueue.dispose();
+    this.quarantine.dispose();
     this.releaser.dispose();
   }
 
@@ -283,6 +299,7 @@
       }
       return;
     }
+    this.quarantine.recordPlaced(req, endpoint);
     this.resolvePlan(plan, {
       kind: 'ready',
       endpoint,
@@ -322,6 +339,16 @@
     ).length;
   }
 
+  /** Refuses the plans without an engine that have a quarantined trait. */
+  private refuseQuarantined(): void {
+    [...this.plans].forEach(([planId, plan]) => {
+      const refusedFor = plan.resolve === undefined ? 0 : this.quarantine.refusedFor(plan.req);
+      if (refusedFor > 0) {
+        this.refusePlan(planId, plan, 'quarantined', refusedFor);
+      }
+    });
+  }
+
   private refusePlan(
     planId: string,
     plan: IPlanState,
@@ -347,6 +374,7 @@
       return;
     }
     this.plans.delete(planId);
+    this.quarantine.recordEnded(planId, 'left');
     this.placementQueue.delete(planId);
     if (this.latestPlanIds.get(plan.req.requestId) === planId) {
       this.latestPlanIds.delete(plan.req.requestId);
--- a/src/coordination/CoordinatorRateLimits.test.ts
+++ b/src/coordination/CoordinatorRateLimits.test.ts
@@ -1,4 +1,5 @@
 import * as vitest from 'vitest';
+import * as blame from '../blame/testing/Blame.js';
 import type * as batching from '../batching/Types.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
@@ -111,7 +112,7 @@
     if (outcome.kind === 'ready') {
       placements.push({ at: clock.monotonic(), endpointId: outcome.endpoint.id });
       if (change.planId === undefined) {
-        coordinator.markStarted(planId);
+        coordinator.markStarted(planId, true);
         clock.setTimer(50, () => coordinator.markEnded(planId));
       }
     } else {
@@ -156,6 +157,7 @@
       clock,
       caller,
       directory,
+      ...blame.makeBlame(clock),
       rateLimiter: new sharedRateLimiter.SharedRateLimiter(table, clock, () => true),
       logService,
       metrics,
@@ -225,7 +227,7 @@
     const planTwice = async (planId: string): Promise<void> => {
       const first = await plan({ planId });
       if (first.kind === 'ready') {
-        const second = await coordinator.reassign(planId, first.endpoint.id, true);
+        const second = await coordinator.reassign(planId, first.endpoint.id, 'limited');
         if (second.kind === 'ready') {
           placements.push({ at: clock.monotonic(), endpointId: second.endpoint.id });
         }
--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -1,5 +1,6 @@
 import * as grpc from '@grpc/grpc-js';
 import * as vitest from 'vitest';
+import * as blame from '../blame/testing/Blame.js';
 import * as seededRandom from '../common/SeededRandom.js';
 import * as systemClock from '../common/SystemClock.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
@@ -38,10 +39,12 @@
   const directory = new endpointDirectory.EndpointDirectory();
   directory.replace({ revision: 1, endpoints: [] });
   const table = new rateLimitTable.RateLimitTable({ clock, logService, metrics });
+  const crashes = blame.makeBlame(clock);
   const coordinator = new coordinators.Coordinator({
     clock,
     caller: { run: async () => [], free: async () => true },
     directory,
+    ...crashes,
     rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
     logService,
     metrics,
@@ -52,6 +55,7 @@
     directory,
     coordinator,
     rateLimitTable: table,
+    blameTable: crashes.blameTable,
     rateLimiter: new sharedRateLimiter.SharedRateLimiter(table, clock, () => true),
     clock,
     logService,
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -1,5 +1,6 @@
 import * as emitter from '../common/Emitter.js';
 import * as recentMaximum from '../common/RecentMaximum.js';
+import type * as blame from '../blame/Types.js';
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
@@ -48,7 +49,7 @@
  * Keeps one connection to the control VM that coordinates, and searches for its successor when the connection is lost.
  */
 export class FeedClient
-  implements types.IPlanner, rateLimits.ICoordinatorLink, commonTypes.IDisposable
+  implements types.IPlanner, rateLimits.ICoordinatorLink, blame.IBlameLink, commonTypes.IDisposable
 {
   private readonly stopController = new AbortController();
 
@@ -82,6 +83,11 @@
     readonly rateLimits.IRateLimitObservation[]
   >();
 
+  private readonly blameEmitter = new emitter.Emitter<blame.IBlameNews>();
+
+  /** @inheritdoc */
+  readonly onBlame = this.blameEmitter.event;
+
   /** @inheritdoc */
   readonly onCoordinatorFound = this.coordinatorFoundEmitter.event;
 
@@ -156,8 +162,14 @@
   }
 
   /** @inheritdoc */
-  reassign(planId: string, failed: string, isHealthy: boolean): Promise<types.PlanOutcome> {
-    return this.requestPlan(planId, { kind: 'again', planId, failed, isHealthy });
+  reassign(
+    planId: string,
+    failed: string,
+    failure: types.EngineFailure,
+  ): Promise<types.PlanOutcome> {
+    const isHealthy = failure === 'limited';
+    const isNotRun = failure !== 'broken';
+    return this.requestPlan(planId, { kind: 'again', planId, failed, isHealthy, isNotRun });
   }
 
   /** @inheritdoc */
@@ -172,6 +184,13 @@
     }
   }
 
+  /** @inheritdoc */
+  sendBlame(news: blame.IBlameNews): void {
+    if (news.crashes.length + news.proofs.length > 0) {
+      this.send({ kind: 'blame', news });
+    }
+  }
+
   /** @inheritdoc */
   cancel(planId: string): void {
     this.pending.delete(planId);
@@ -179,8 +198,9 @@
   }
 
   /** @inheritdoc */
-  markStarted(planId: string): void {
-    this.finishPlan(planId, { kind: 'started', planId });
+  markStarted(planId: string, isSuccess: boolean): void {
+    const error = isSuccess ? {} : { isError: true };
+    this.finishPlan(planId, { kind: 'started', planId, ...error });
   }
 
   /** @inheritdoc */
@@ -345,6 +365,9 @@
       case 'limits':
         this.rateLimitsEmitter.fire(message.observations);
         break;
+      case 'blame':
+        this.blameEmitter.fire(message.news);
+        break;
       case 'permit':
         this.permitEmitter.fire(message.answer);
         break;
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -1,4 +1,5 @@
 import type * as grpc from '@grpc/grpc-js';
+import type * as blameTable from '../blame/BlameTable.js';
 import type * as batching from '../batching/Types.js';
 import * as recentMaximum from '../common/RecentMaximum.js';
 import type * as commonTypes from '../common/Types.js';
@@ -10,6 +11,7 @@
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import type * as coordinator from './Coordinator.js';
+import * as blameExchange from './BlameExchange.js';
 import * as feedCodec from './FeedCodec.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
 import type * as types from './Types.js';
@@ -50,6 +52,7 @@
   readonly coordinator: coordinator.Coordinator;
   readonly rateLimitTable: rateLimitTable.RateLimitTable;
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
+  readonly blameTable: blameTable.BlameTable;
   readonly clock: commonTypes.IClock;
   readonly logService: commonServices.ILogService;
 }
@@ -67,6 +70,8 @@
 
   private readonly rateLimitExchange: rateLimitExchange.RateLimitExchange;
 
+  private readonly blameExchange: blameExchange.BlameExchange;
+
   private isCoordinating = false;
 
   private leaderSeenAt: commonTypes.Millis;
@@ -88,8 +93,12 @@
       deps.rateLimiter,
       (message) => this.broadcast(message),
     );
+    this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, (message) =>
+      this.broadcast(message),
+    );
     this.subscriptions.push(
       this.rateLimitExchange,
+      this.blameExchange,
       deps.document.onChange(() => this.broadcastDocument()),
       deps.directory.onChange((list) => this.broadcastEndpoints(list)),
       deps.log.onLeadership(() => this.broadcastState()),
@@ -204,7 +213,7 @@
         void this.sendOutcome(
           session,
           message.planId,
-          planner.reassign(message.planId, message.failed, message.isHealthy ?? false),
+          planner.reassign(message.planId, message.failed, failureOf(message)),
         );
         break;
       case 'cancel':
@@ -212,7 +221,7 @@
         planner.cancel(message.planId);
         break;
       case 'started':
-        planner.markStarted(message.planId);
+        planner.markStarted(message.planId, message.isError !== true);
         break;
       case 'ended':
         session.plans.delete(message.planId);
@@ -221,6 +230,9 @@
       case 'limits':
         this.rateLimitExchange.handleLimits(session.vm, message.observations, send);
         break;
+      case 'blame':
+        this.blameExchange.handleNews(message.news);
+        break;
       case 'permit':
         this.rateLimitExchange.handlePermit(
           message.permitId,
@@ -240,6 +252,7 @@
     session.stream.write(this.buildState());
     this.sendDocumentTo(session);
     this.rateLimitExchange.greet((message) => session.stream.write(message));
+    this.blameExchange.greet((message) => session.stream.write(message));
     const list = this.deps.directory.current;
     if (this.canPlan) {
       session.stream.write({ kind: 'endpoints', list });
@@ -371,3 +384,9 @@
     this.sessions.forEach((session) => session.stream.write(message));
   }
 }
+
+function failureOf(message: types.UpMessage & { readonly kind: 'again' }): types.EngineFailure {
+  const { isHealthy = false, isNotRun = false } = message;
+  const notRun = isHealthy ? 'limited' : 'not-run';
+  return isHealthy || isNotRun ? notRun : 'broken';
+}
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -1,5 +1,6 @@
 /** Contracts between entry VMs and the coordinator that plans the requests of all of them. */
 import type * as batching from '../batching/Types.js';
+import type * as blame from '../blame/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as placing from '../placing/Types.js';
 import type * as rateLimits from '../ratelimit/Types.js';
@@ -10,6 +11,8 @@
   /** Id of the plan. Each plan of the same request has another id. */
   readonly planId: string;
   readonly requestId: string;
+  /** Hash that resends of the request share; absent means unknown. */
+  readonly fingerprint?: string;
   /** Name of the service whose engines run the request. */
   readonly service: string;
   readonly stages: readonly routing.IStage[];
@@ -36,7 +39,28 @@
 export type ResultListener = (record: batching.IResultRecord) => void;
 
 /** Reason that a plan was refused. The request has not run. */
-export type PlanRefusal = 'overloaded' | 'too-late' | 'stage-failed' | 'no-endpoint' | 'lost';
+export type PlanRefusal =
+  | 'overloaded'
+  | 'too-late'
+  | 'stage-failed'
+  | 'no-endpoint'
+  | 'lost'
+  /** Requests with the same content or prompt part have crashed engines. */
+  | 'quarantined';
+
+/** Refusal of a plan request. */
+export interface IPlanRefused {
+  readonly kind: 'refused';
+  readonly reason: PlanRefusal;
+  /** Time after which the caller may retry. */
+  readonly retryAfter: commonTypes.Millis;
+}
+
+/**
+ * Failure of an engine with a request: `limited` if it only rejected the request for its rate limit, `not-run` if it did
+ * not execute the request for another reason, `broken` if there was no complete answer.
+ */
+export type EngineFailure = 'limited' | 'not-run' | 'broken';
 
 /** Decision of the coordinator on a plan request. */
 export type PlanOutcome =
@@ -46,26 +70,21 @@
       /** Handles of the stage results that the engine reads. */
       readonly inputs: readonly string[];
     }
-  | {
-      readonly kind: 'refused';
-      readonly reason: PlanRefusal;
-      /** Time after which the caller may retry. */
-      readonly retryAfter: commonTypes.Millis;
-    };
+  | IPlanRefused;
 
 /** Plans requests: runs their stages and chooses an engine for each. */
 export interface IPlanner {
   /** Plans a request. Resolves when its stages are complete and an engine is chosen, or when it is refused. */
   plan(req: IPlanRequest, onResult?: ResultListener): Promise<PlanOutcome>;
-  /**
-   * Chooses another engine for the same results, after the engine with the id `failed` could not run the request;
-   * `isHealthy` if that engine only rejected it for its rate limit.
-   */
-  reassign(planId: string, failed: string, isHealthy: boolean): Promise<PlanOutcome>;
+  /** Chooses another engine for the same results, after the engine with the id `failed` did not answer the request. */
+  reassign(planId: string, failed: string, failure: EngineFailure): Promise<PlanOutcome>;
   /** Cancels a plan whose caller has left or that is no longer needed. */
   cancel(planId: string): void;
-  /** Records that the engine has begun its answer, after which the plan's results are no longer needed. */
-  markStarted(planId: string): void;
+  /**
+   * Records that the engine has begun its answer, after which the plan's results are no longer needed. `isSuccess` if it
+   * is no error response, which an engine may send without running the request.
+   */
+  markStarted(planId: string, isSuccess: boolean): void;
   /** Records that the request has left its engine; `failed` is the id of the engine if it failed the request. */
   markEnded(planId: string, failed?: string): void;
 }
@@ -94,9 +113,12 @@
       readonly failed: string;
       /** Whether the engine only rejected the request for its rate limit; absent means false. */
       readonly isHealthy?: boolean;
+      /** Whether the engine did not execute the request; absent means false. */
+      readonly isNotRun?: boolean;
     }
   | { readonly kind: 'cancel'; readonly planId: string }
-  | { readonly kind: 'started'; readonly planId: string }
+  /** The engine has begun its answer; `isError` if that is an error response, absent means false. */
+  | { readonly kind: 'started'; readonly planId: string; readonly isError?: boolean }
   | { readonly kind: 'ended'; readonly planId: string; readonly failed?: string }
   /** Results that an earlier coordinator produced and that are to be freed. */
   | { readonly kind: 'spare'; readonly records: readonly batching.IResultRecord[] }
@@ -104,6 +126,8 @@
   | { readonly kind: 'endpoints'; readonly list: routing.IEndpointList }
   /** Rate limits that the entry VM has seen, where the coordinator may not know them. */
   | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
+  /** What the entry VM knows of crashes of endpoints, where the coordinator may not know it. */
+  | { readonly kind: 'blame'; readonly news: blame.IBlameNews }
   /** Request for the permission to send one request to an endpoint that names a rate limit. */
   | { readonly kind: 'permit'; readonly permitId: number; readonly endpointId: string }
   | { readonly kind: 'alive' };
@@ -132,5 +156,7 @@
   | { readonly kind: 'made'; readonly made: readonly IPlanResult[] }
   /** Rate limits that any VM has seen. */
   | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
+  /** What any VM knows of crashes of endpoints. */
+  | { readonly kind: 'blame'; readonly news: blame.IBlameNews }
   | { readonly kind: 'permit'; readonly answer: rateLimits.IPermitAnswer }
   | { readonly kind: 'planned'; readonly planId: string; readonly outcome: PlanOutcome };
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -1,3 +1,6 @@
+import type * as blameTable from '../blame/BlameTable.js';
+import * as blameTraits from '../blame/Traits.js';
+import type * as blame from '../blame/Types.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as coordination from '../coordination/Types.js';
@@ -22,6 +25,7 @@
 /** Collaborators of an EngineRequestHandler. */
 export interface IEngineRequestDependencies extends types.IRequestHandlerDependencies {
   readonly planner: coordination.IPlanner;
+  readonly blameTable: blameTable.BlameTable;
 }
 
 /** Outcome of an attempt. */
@@ -36,7 +40,9 @@
   /** The response is truncated or not authentic, or it is an error response after the stream had started. */
   | { readonly kind: 'cut' }
   /** The request was sent, at least in part, but no response arrived. */
-  | { readonly kind: 'lost' };
+  | { readonly kind: 'lost' }
+  /** The attempt was cancelled because a trait of the request was quarantined meanwhile. */
+  | { readonly kind: 'quarantined' };
 
 /**
  * Handles one request to a model engine. The planner runs the stages of the request and chooses an engine; the response
@@ -56,12 +62,20 @@
   /** Whether the stage results of the current plan were released, because an engine started to respond. */
   private inputsReleased = false;
 
+  /** Identifies the request and its resends. */
+  private readonly fingerprint: string;
+
+  private readonly traits: blame.IRequestTraits;
+
   /** Handles the request of `scope`; `run` starts it. */
   constructor(
     private readonly scope: requestScope.RequestScope,
     private readonly deps: IEngineRequestDependencies,
   ) {
+    const { request, service, workspace } = scope;
     this.relay = new eventRelay.EventRelay(scope);
+    this.fingerprint = blameTraits.fingerprintOf({ ...request, workspace: workspace?.name });
+    this.traits = blameTraits.traitsOf(service, this.fingerprint, request.prompt);
   }
 
   /** Plans and makes attempts until the caller has a response or the request ends. */
@@ -70,8 +84,9 @@
     deps.budget.recordRequest();
     const unregister = scope.onFinish(() => deps.planner.cancel(this.planId));
     let avoid: readonly string[] = [];
-    let outcome = await this.plan(avoid);
+    let outcome = this.quarantineRefusal ?? (await this.plan(avoid));
     while (!scope.isFinished) {
+      outcome = this.quarantineRefusal ?? outcome;
       if (outcome.kind === 'refused') {
         if (!(await this.mayReplan(outcome))) {
           this.rejectRefused(outcome);
@@ -86,6 +101,9 @@
         unregister();
         return;
       }
+      if (attempt.kind === 'quarantined') {
+        continue;
+      }
       avoid = [...avoid, endpoint.id];
       if (!this.mayRetry(attempt)) {
         deps.planner.markEnded(this.planId, attempt.kind === 'not-run' ? undefined : endpoint.id);
@@ -97,6 +115,12 @@
     }
   }
 
+  /** Refusal of the request while one of its traits is quarantined. */
+  private get quarantineRefusal(): coordination.IPlanRefused | undefined {
+    const refusal = this.deps.blameTable.refusalOf(this.traits);
+    return refusal && { kind: 'refused', reason: 'quarantined', retryAfter: refusal.retryAfter };
+  }
+
   /** Chooses an engine for the next attempt: under the current plan if its stage results are kept, else by a new plan. */
   private chooseNextEngine(
     attempt: AttemptOutcome,
@@ -105,8 +129,9 @@
   ): Promise<coordination.PlanOutcome> {
     const inputsLost = attempt.kind === 'not-run' && attempt.inputsLost;
     if (!inputsLost && !this.inputsReleased) {
-      const isHealthy = attempt.kind === 'not-run' && attempt.isLimited;
-      return this.deps.planner.reassign(this.planId, endpoint.id, isHealthy);
+      const notRun = attempt.kind === 'not-run' && attempt.isLimited ? 'limited' : 'not-run';
+      const failure = attempt.kind === 'not-run' ? notRun : 'broken';
+      return this.deps.planner.reassign(this.planId, endpoint.id, failure);
     }
     const failed = attempt.kind === 'not-run' ? undefined : endpoint.id;
     this.deps.planner.markEnded(this.planId, failed);
@@ -125,6 +150,7 @@
     return deps.planner.plan({
       planId: this.planId,
       requestId: request.id,
+      fingerprint: this.fingerprint,
       service: scope.service,
       stages: route.stages,
       pieces: request.pieces,
@@ -167,7 +193,9 @@
   private rejectRefused(outcome: coordination.PlanOutcome & { kind: 'refused' }): void {
     const { scope } = this;
     const { reason, retryAfter } = outcome;
-    this.log('rejected', { reason, retryAfter: Math.round(retryAfter) });
+    const trait = this.deps.blameTable.verdictOf(this.traits)?.trait;
+    const cause = reason === 'quarantined' ? { trait } : {};
+    this.log('rejected', { reason, retryAfter: Math.round(retryAfter), ...cause });
     if (scope.responseStarted) {
       scope.responder.abort();
     } else if (scope.isNotRun) {
@@ -206,9 +234,20 @@
     const started = deps.clock.monotonic();
     const call = deps.caller.send(this.buildCall(endpoint, inputs));
     const unregister = scope.onFinish(() => call.cancel());
+    let isQuarantined = false;
+    const subscription = deps.blameTable.onVerdict(() => {
+      isQuarantined = !this.inputsReleased && this.quarantineRefusal !== undefined;
+      if (isQuarantined) {
+        call.cancel();
+      }
+    });
     try {
       const outcome = await this.relayAnswer(await call.answer);
       const took = Math.round(deps.clock.monotonic() - started);
+      if (isQuarantined) {
+        this.log('sending-ended', { endpoint: endpoint.id, end: 'quarantined', took });
+        return { kind: 'quarantined' };
+      }
       this.log('sending-ended', { endpoint: endpoint.id, end: outcome.kind, took });
       if (outcome.kind === 'cut') {
         call.cancel();
@@ -218,14 +257,16 @@
       if (!(err instanceof types.EndpointCallError)) {
         throw err;
       }
-      this.log('sending-ended', { endpoint: endpoint.id, end: 'lost', reason: err.message });
+      const end = isQuarantined ? 'quarantined' : 'lost';
+      this.log('sending-ended', { endpoint: endpoint.id, end, reason: err.message });
       if (err.sent) {
         scope.mayHaveRun = true;
-        return { kind: 'lost' };
+        return { kind: end };
       }
       this.executions -= 1;
       return { kind: 'not-run', inputsLost: false, isLimited: false };
     } finally {
+      subscription.dispose();
       unregister();
       scope.attemptsInFlight -= 1;
     }
@@ -251,7 +292,7 @@
       return { kind: 'cut' };
     }
     const end = await this.relay.relay(answer, () => {
-      deps.planner.markStarted(this.planId);
+      deps.planner.markStarted(this.planId, isStream);
       this.inputsReleased = true;
       this.log('first-event', {});
     });
--- a/src/gateway/FallbackPlanner.ts
+++ b/src/gateway/FallbackPlanner.ts
@@ -69,9 +69,13 @@
   }
 
   /** @inheritdoc */
-  reassign(planId: string, failed: string, isHealthy: boolean): Promise<coordination.PlanOutcome> {
+  reassign(
+    planId: string,
+    failed: string,
+    failure: coordination.EngineFailure,
+  ): Promise<coordination.PlanOutcome> {
     const planner = this.plannerByPlan.get(planId) ?? this.coordinator;
-    return planner.reassign(planId, failed, isHealthy);
+    return planner.reassign(planId, failed, failure);
   }
 
   /** @inheritdoc */
@@ -81,8 +85,8 @@
   }
 
   /** @inheritdoc */
-  markStarted(planId: string): void {
-    this.plannerByPlan.get(planId)?.markStarted(planId);
+  markStarted(planId: string, isSuccess: boolean): void {
+    this.plannerByPlan.get(planId)?.markStarted(planId, isSuccess);
   }
 
   /** @inheritdoc */
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -1,5 +1,6 @@
 import * as stream from 'node:stream';
 import * as vitest from 'vitest';
+import * as blame from '../blame/testing/Blame.js';
 import * as seededRandom from '../common/SeededRandom.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
@@ -203,6 +204,7 @@
       caller,
       planner,
       permits,
+      blameTable: blame.makeTable(clock),
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       budget: new retryBudget.RetryBudget(limits, clock, () => 1),
       logService: new recordingLog.RecordingLogService(),
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,3 +1,4 @@
+import type * as blameTable from '../blame/BlameTable.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as coordination from '../coordination/Types.js';
@@ -27,6 +28,7 @@
   readonly balancer: serviceBalancer.ServiceBalancer;
   readonly budget: retryBudget.RetryBudget;
   readonly permits: rateLimits.IPermitService;
+  readonly blameTable: blameTable.BlameTable;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
   /** Returns the number of entry VMs in use, which divide the connections to each endpoint among them. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -49,6 +49,8 @@
   | 'too-late'
   | 'no-endpoint'
   | 'stage-failed'
+  /** Requests with the same content or prompt part have crashed endpoints. */
+  | 'quarantined'
   | 'endpoint-failed'
   | 'timed-out'
   | 'internal';
--- a/src/ratelimit/Types.ts
+++ b/src/ratelimit/Types.ts
@@ -21,8 +21,11 @@
   readonly sentAt: commonTypes.Millis;
 }
 
-/** Kind of a call to an endpoint: a caller's request, a batch of stage items, or the release of stage results. */
-export type CallKind = 'request' | 'stage' | 'release';
+/**
+ * Kind of a call to an endpoint: a caller's request, a batch of stage items, the release of stage results, or a check
+ * whether the endpoint has crashed.
+ */
+export type CallKind = 'request' | 'stage' | 'release' | 'probe';
 
 /** Observes the calls of this VM to endpoints. */
 export interface ICallObserver {
