--- a/src/blame/BlameTable.ts
+++ b/src/blame/BlameTable.ts
@@ -82,14 +82,16 @@
 
   /** Records a crash that this VM has observed, without the suspects that have succeeded lately. */
   recordCrash(crash: verdictRules.ITimedCrash): void {
+    this.dropExpired();
     const mayBeToBlame = (trait: string): boolean =>
       verdictRules.countsAgainst(crash.at, this.recentProofs.get(trait));
     const suspects = crash.suspects
       .filter(({ request }) => mayBeToBlame(request))
       .map((suspect) => ({ ...suspect, parts: suspect.parts.filter(mayBeToBlame) }));
     if (suspects.length > 0 && this.store.add({ ...crash, suspects })) {
-      this.rejudge('expired');
+      this.rejudge();
       this.fire([crash.id], [], true);
+      this.dropExpired();
     }
   }
 
@@ -101,30 +103,33 @@
     const cleared = traits.filter((trait) => this.judgement.suspected.has(trait));
     if (cleared.length > 0) {
       cleared.forEach((trait) => this.proofs.set(trait, now));
-      this.rejudge('succeeded');
+      this.rejudge();
       this.fire([], cleared, true);
     }
   }
 
   /** Adopts the news of another VM. */
   merge({ crashes, proofs }: types.IBlameNews): void {
+    this.dropExpired();
     const now = this.deps.clock.monotonic();
     const newCrashes = crashes.filter((crash) => this.store.add(crashStore.timed(crash, now)));
     const newProofs = proofs.filter(({ trait, age }) => this.addProof(trait, now - age));
     if (newCrashes.length === 0 && newProofs.length === 0) {
       return;
     }
-    this.rejudge(newProofs.length > 0 ? 'succeeded' : 'expired');
+    this.rejudge();
     this.fire(
       newCrashes.map(({ id }) => id),
       newProofs.map(({ trait }) => trait),
       false,
     );
     this.applyRecentProofs();
+    this.dropExpired();
   }
 
   /** What another VM needs to know to come to the same verdicts. */
   get news(): types.IBlameNews {
+    this.dropExpired();
     const counted = new Set([...this.judgement.suspected.values()].flat());
     return this.newsOf([...counted], [...this.proofs.keys()]);
   }
@@ -154,21 +159,28 @@
       return provenAt !== undefined && this.addProof(trait, provenAt);
     });
     if (cleared.length > 0) {
-      this.rejudge('succeeded');
+      this.rejudge();
       this.fire([], cleared, true);
     }
   }
 
-  private rejudge(reason: 'succeeded' | 'expired'): void {
-    this.store.purge(this.judgement.verdicts);
+  private dropExpired(): void {
+    if (!this.store.purge(this.judgement.verdicts)) {
+      return;
+    }
     [...this.proofs.keys()]
       .filter((trait) => this.store.crashesWith(trait).length === 0)
       .forEach((trait) => this.proofs.delete(trait));
+    this.rejudge();
+  }
+
+  private rejudge(): void {
     const previous = this.judgement;
     this.judgement = verdictRules.judge(this.store.crashes, this.proofs);
     this.logSuspects(previous);
     previous.verdicts.forEach(({ trait }) => {
       if (!this.judgement.verdicts.has(trait)) {
+        const reason = this.proofs.has(trait) ? 'succeeded' : 'expired';
         this.deps.logService.info('trait-cleared', { trait, reason });
       }
     });
@@ -180,9 +192,11 @@
     });
   }
 
+  /** Logs traits with several crashes; those with one are the suspects in the line of that crash. */
   private logSuspects(previous: verdictRules.IJudgement): void {
     this.judgement.suspected.forEach((ids, trait) => {
-      if (ids.length > (previous.suspected.get(trait)?.length ?? 0)) {
+      const isRepeated = ids.length >= verdictRules.MIN_CRASHES;
+      if (isRepeated && ids.length > (previous.suspected.get(trait)?.length ?? 0)) {
         this.deps.logService.info('trait-suspected', { trait, crashes: ids.join(',') });
       }
     });
--- a/src/blame/CrashStore.ts
+++ b/src/blame/CrashStore.ts
@@ -2,7 +2,7 @@
 import type * as types from './Types.js';
 import type * as verdictRules from './VerdictRules.js';
 
-/** Time for which a crash counts; longer than the longest quarantine, which must not be forgotten before its end. */
+/** Time for which a crash counts at least; longer than the longest quarantine, which must not be forgotten before its end. */
 export const RETENTION_MS = 900_000;
 /** Maximum number of crashes. */
 export const MAX_CRASHES = 64;
@@ -30,7 +30,7 @@
 export class CrashStore {
   private readonly byId = new Map<string, verdictRules.ITimedCrash>();
 
-  private idsByTrait: ReadonlyMap<string, readonly string[]> = new Map();
+  private readonly idsByTrait = new Map<string, Set<string>>();
 
   /** Creates an empty store. */
   constructor(private readonly clock: commonTypes.IClock) {}
@@ -47,50 +47,52 @@
 
   /** Crashes with a suspect that has the trait. */
   crashesWith(trait: string): readonly verdictRules.ITimedCrash[] {
-    return (this.idsByTrait.get(trait) ?? [])
+    return [...(this.idsByTrait.get(trait) ?? [])]
       .map((id) => this.byId.get(id))
       .filter((crash) => crash !== undefined);
   }
 
   /** Adds a crash, or suspects of a known one; returns whether it says something new. */
   add(crash: verdictRules.ITimedCrash): boolean {
-    if (crash.at < this.clock.monotonic() - RETENTION_MS) {
-      return false;
-    }
     const known = this.byId.get(crash.id);
     const added = crash.suspects.filter(
       ({ request }) => !known?.suspects.some((suspect) => suspect.request === request),
     );
-    if (added.length === 0) {
-      return false;
-    }
     const suspects = [...(known?.suspects ?? []), ...added]
       .sort((a, b) => a.placedAt - b.placedAt)
       .slice(0, MAX_SUSPECTS);
-    const isUnchanged = suspects.length === known?.suspects.length;
+    if (added.length === 0 || suspects.length === known?.suspects.length) {
+      return false;
+    }
+    this.remove(crash.id);
     // Transit makes a crash seem later, never earlier.
     const at = Math.min(crash.at, known?.at ?? crash.at);
     this.byId.set(crash.id, { ...crash, at, suspects });
-    this.indexTraits();
-    return !isUnchanged;
+    traitsOf(suspects).forEach((trait) => {
+      const ids = this.idsByTrait.get(trait) ?? new Set<string>();
+      ids.add(crash.id);
+      this.idsByTrait.set(trait, ids);
+    });
+    return true;
   }
 
-  /** Drops crashes that are too old, and those over the maximum: first the oldest ones that no verdict is based on. */
-  purge(verdicts: ReadonlyMap<string, types.IVerdict>): void {
+  /**
+   * Drops crashes that are too old, unless a verdict with a later crash is based on them, and those over the maximum:
+   * first the oldest ones without a verdict. Returns whether there were any.
+   */
+  purge(verdicts: ReadonlyMap<string, types.IVerdict>): boolean {
     const oldest = this.clock.monotonic() - RETENTION_MS;
-    const needed = new Set([...verdicts.values()].flatMap(({ crashIds }) => crashIds));
+    const inForce = [...verdicts.values()].filter(({ lastCrashAt }) => lastCrashAt >= oldest);
+    const needed = new Set(inForce.flatMap(({ crashIds }) => crashIds));
     const { crashes } = this;
-    const expired = crashes.filter(({ at }) => at < oldest);
-    const kept = crashes.filter(({ at }) => at >= oldest);
-    const byNeed = [
-      ...kept.filter(({ id }) => !needed.has(id)),
-      ...kept.filter(({ id }) => needed.has(id)),
-    ];
-    const surplus = byNeed.slice(0, Math.max(0, kept.length - MAX_CRASHES));
-    [...expired, ...surplus].forEach(({ id }) => this.byId.delete(id));
-    if (expired.length + surplus.length > 0) {
-      this.indexTraits();
-    }
+    const expired = crashes.filter(({ id, at }) => at < oldest && !needed.has(id));
+    expired.forEach(({ id }) => this.remove(id));
+    const surplus = [
+      ...crashes.filter(({ id }) => this.byId.has(id) && !needed.has(id)),
+      ...crashes.filter(({ id }) => needed.has(id)),
+    ].slice(0, Math.max(0, this.byId.size - MAX_CRASHES));
+    surplus.forEach(({ id }) => this.remove(id));
+    return expired.length + surplus.length > 0;
   }
 
   /** Records of the crashes with these ids, as of `now`. */
@@ -110,12 +112,18 @@
       }));
   }
 
-  private indexTraits(): void {
-    const index = new Map<string, string[]>();
-    this.byId.forEach(({ id, suspects }) => {
-      const traits = new Set(suspects.flatMap(({ request, parts }) => [request, ...parts]));
-      traits.forEach((trait) => index.set(trait, [...(index.get(trait) ?? []), id]));
+  private remove(id: string): void {
+    traitsOf(this.byId.get(id)?.suspects ?? []).forEach((trait) => {
+      const ids = this.idsByTrait.get(trait);
+      ids?.delete(id);
+      if (ids?.size === 0) {
+        this.idsByTrait.delete(trait);
+      }
     });
-    this.idsByTrait = index;
+    this.byId.delete(id);
   }
 }
+
+function traitsOf(suspects: readonly types.IRequestTraits[]): ReadonlySet<string> {
+  return new Set(suspects.flatMap(({ request, parts }) => [request, ...parts]));
+}
--- a/src/blame/VerdictRules.ts
+++ b/src/blame/VerdictRules.ts
@@ -11,7 +11,7 @@
 /** Crashes within this time may have a common cause, such as the loss of an availability zone. */
 const COMMON_CAUSE_WINDOW_MS = 1000;
 /** Crashes after which a trait is blamed if no other trait explains all of them. */
-const MIN_CRASHES = 2;
+export const MIN_CRASHES = 2;
 /** Crashes after which a trait is blamed even if other traits explain them, too. */
 const MAX_CRASHES = 3;
 /** Requests with a prompt part that must have crashed endpoints before the part is blamed instead of the request. */
@@ -58,12 +58,13 @@
   proofs: ReadonlyMap<string, commonTypes.Millis>,
 ): IJudgement {
   const counts = countCrashes(crashes, proofs);
-  const partsOfRequests = collectParts(crashes);
+  const repeated = new Map([...counts].filter(([, counted]) => counted.length >= MIN_CRASHES));
+  const partsOfRequests = collectParts(repeated.size === 0 ? [] : crashes);
   const verdicts = new Map<string, types.IVerdict>();
-  counts.forEach((counted, trait) => {
+  repeated.forEach((counted, trait) => {
     const related = partsOfRequests.get(trait) ?? new Set();
     const blamedAfter = counted.findIndex((_, at) =>
-      isToBlame(trait, counted.slice(0, at + 1), counts, related),
+      isToBlame(trait, counted.slice(0, at + 1), repeated, related),
     );
     if (blamedAfter >= 0) {
       verdicts.set(trait, {
