--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -1,5 +1,7 @@
 import * as grpc from '@grpc/grpc-js';
 import * as vitest from 'vitest';
+import * as blameSync from '../blame/BlameSync.js';
+import type * as blameTable from '../blame/BlameTable.js';
 import * as blame from '../blame/testing/Blame.js';
 import * as seededRandom from '../common/SeededRandom.js';
 import * as systemClock from '../common/SystemClock.js';
@@ -26,6 +28,7 @@
 interface ILeader {
   readonly address: string;
   readonly table: rateLimitTable.RateLimitTable;
+  readonly crashes: blameTable.BlameTable;
   stop(): void;
 }
 
@@ -71,7 +74,7 @@
     server.forceShutdown();
   };
   disposables.push({ dispose: stop });
-  return { address: `127.0.0.1:${port}`, table, stop };
+  return { address: `127.0.0.1:${port}`, table, crashes: crashes.blameTable, stop };
 }
 
 function startClient(vm: string, seeds: () => readonly string[]): feedClient.FeedClient {
@@ -151,3 +154,40 @@
   await until(() => answers.length === 2);
   expect(answers).toEqual([false, true]);
 });
+
+test('a quarantine reaches all VMs, and each new coordinator, and its end does', async () => {
+  const first = await startLeader();
+  const second = await startLeader();
+  let seeds = [first.address];
+  const tables = ['a', 'b'].map((vm) => {
+    const client = startClient(vm, () => seeds);
+    const table = blame.makeTable(clock);
+    disposables.push(new blameSync.BlameSync(table, client));
+    return { client, table };
+  });
+  await until(() => tables.every(({ client }) => client.isConnected));
+  const traits = { request: 'r', parts: ['part'] };
+  const isRefused = (table: blameTable.BlameTable): boolean =>
+    table.refusalOf(traits) !== undefined;
+  ['first', 'second'].forEach((id, index) => {
+    const at = clock.monotonic() - 5000 + 2000 * index;
+    const suspects = [{ request: id, parts: ['part'], placedAt: at - 10 }];
+    first.crashes.recordCrash({ id, endpointId: 'e', at, suspects });
+  });
+  await until(() => tables.every(({ table }) => isRefused(table)));
+  seeds = [second.address];
+  first.stop();
+  await until(() => isRefused(second.crashes));
+  const later = blame.makeTable(clock);
+  disposables.push(
+    new blameSync.BlameSync(
+      later,
+      startClient('later', () => seeds),
+    ),
+  );
+  await until(() => isRefused(later));
+  second.crashes.recordProof(traits);
+  await until(() =>
+    [later, ...tables.map(({ table }) => table)].every((table) => !isRefused(table)),
+  );
+});
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -1,5 +1,6 @@
 import * as stream from 'node:stream';
 import * as vitest from 'vitest';
+import type * as blameTable from '../blame/BlameTable.js';
 import * as blame from '../blame/testing/Blame.js';
 import * as seededRandom from '../common/SeededRandom.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
@@ -142,6 +143,11 @@
   let calls: types.IEndpointCall[];
   let cancelCount: number;
   let permits: FakePermits;
+  let crashes: blameTable.BlameTable;
+  let logService: recordingLog.RecordingLogService;
+  let cancelledPlans: string[];
+  let startedPlans: string[];
+  let failedEngines: (string | undefined)[];
   let metrics: recordingMetrics.RecordingMetricsService;
   let reply: ReplyFn;
   let plans: coordination.IPlanRequest[];
@@ -191,12 +197,17 @@
         return planOutcomes.shift() as coordination.PlanOutcome;
       },
       reassign: async () => planOutcomes.shift() as coordination.PlanOutcome,
-      cancel: () => {},
-      markStarted: () => {},
-      markEnded: () => {},
+      cancel: (planId) => cancelledPlans.push(planId),
+      markStarted: (planId, isSuccess) => startedPlans.push(`${planId} ${isSuccess}`),
+      markEnded: (planId, failed) => failedEngines.push(failed),
     };
     const limits = { ratio: 0.2, window: 10_000, slack: 100 };
     permits = new FakePermits();
+    crashes = blame.makeTable(clock);
+    logService = new recordingLog.RecordingLogService();
+    cancelledPlans = [];
+    startedPlans = [];
+    failedEngines = [];
     metrics = new recordingMetrics.RecordingMetricsService();
     gateway = new gateways.Gateway({
       clock,
@@ -204,10 +215,10 @@
       caller,
       planner,
       permits,
-      blameTable: blame.makeTable(clock),
+      blameTable: crashes,
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       budget: new retryBudget.RetryBudget(limits, clock, () => 1),
-      logService: new recordingLog.RecordingLogService(),
+      logService,
       metrics,
       entryVmCount: () => 1,
     });
@@ -235,7 +246,11 @@
   });
 
   /** Sends a request and advances the clock by `waitMs`. */
-  async function request(target: string, waitMs = 2000): Promise<FakeResponder> {
+  async function request(
+    target: string,
+    waitMs = 2000,
+    change: Partial<types.IIncomingRequest> = {},
+  ): Promise<FakeResponder> {
     const responder = new FakeResponder();
     gateway.handle(
       {
@@ -252,6 +267,7 @@
         prompt: undefined,
         pieces: [],
         pieceKey: '',
+        ...change,
       },
       responder,
     );
@@ -427,6 +443,126 @@
     expect(counted()).toEqual({ 'refused{reason=too-late}': 1 });
   });
 
+  describe('with a quarantined prompt part', () => {
+    const prompt = {
+      parts: ['first', 'deadly', 'own'].map((id) => ({ id, tokens: 1 })),
+      tokensIn: 3,
+      tokensOut: 1,
+    };
+    const sound = { ...prompt, parts: ['first', 'own'].map((id) => ({ id, tokens: 1 })) };
+    const ready = (id: string): coordination.PlanOutcome => ({
+      kind: 'ready',
+      endpoint: { ...endpoint(id), service: 'm' },
+      inputs: [],
+    });
+
+    /** An engine crashes under a request with the part. */
+    function crash(id: string): void {
+      const at = clock.monotonic();
+      const suspects = [{ request: id, parts: ['part:m/deadly'], placedAt: at - 10 }];
+      crashes.recordCrash({ id, endpointId: 'm9', at, suspects });
+    }
+
+    async function quarantine(): Promise<void> {
+      crash('c1');
+      await clock.advance(1500);
+      crash('c2');
+    }
+
+    test('refuses its requests before planning, with the time left, and no others', async () => {
+      await quarantine();
+      planOutcomes = [ready('m1')];
+      reply = () => answerOf(200, 'id: 1\ndata: a\n\n');
+      const responder = await request('/chat/x', 0, { prompt });
+      expect(responder).toMatchObject({ outcome: 'quarantined', retryAfter: 60_000 });
+      expect([plans, calls]).toEqual([[], []]);
+      expect(metrics.counters.get('refused{reason=quarantined}')).toBe(1);
+      expect(logService.events.find(({ event }) => event === 'rejected')?.fields).toMatchObject({
+        request: 'r',
+        reason: 'quarantined',
+        trait: 'part:m/deadly',
+      });
+      expect((await request('/chat/x', 100, { prompt: sound })).outcome).toBe('whole');
+    });
+
+    test('cancels a call that waits for its first event, and does not call it not run', async () => {
+      planOutcomes = [ready('m1'), ready('m2')];
+      reply = () => 'silent';
+      crash('c1');
+      await clock.advance(1500);
+      const responder = await request('/chat/x', 100, { prompt });
+      expect([calls.length, responder.outcome]).toEqual([1, 'none']);
+      crash('c2');
+      await clock.advance(0);
+      expect(responder.outcome).toBe('endpoint-failed');
+      expect([calls.length, cancelCount]).toEqual([1, 1]);
+      expect(cancelledPlans).toEqual(['r#1']);
+      // The engine did not fail.
+      expect(failedEngines).toEqual([]);
+    });
+
+    test('breaks off an answer without an event, and no other one', async () => {
+      planOutcomes = [ready('m1'), ready('m1'), ready('m1')];
+      const bodies: stream.PassThrough[] = [];
+      reply = () => {
+        const body = new stream.PassThrough();
+        bodies.push(body);
+        return answerOf(200, '', { body });
+      };
+      crash('c1');
+      await clock.advance(1500);
+      const headOnly = await request('/chat/x', 50, { prompt });
+      const withEvent = await request('/chat/x', 50, { prompt });
+      bodies[1]?.write('id: 1\ndata: a\n\n');
+      const other = await request('/chat/x', 50, { prompt: sound });
+      crash('c2');
+      bodies[0]?.destroy(new Error('cancelled'));
+      await clock.advance(100);
+      expect(headOnly.outcome).toBe('cut');
+      expect([withEvent, other].map(({ outcome }) => outcome)).toEqual(['begun', 'begun']);
+      bodies.slice(1).forEach((body) => body.end());
+      await clock.advance(100);
+      expect([withEvent, other].map(({ outcome }) => outcome)).toEqual(['whole', 'whole']);
+      expect(calls).toHaveLength(3);
+    });
+
+    test('does not send a request again once its part is quarantined', async () => {
+      planOutcomes = [ready('m1'), ready('m2')];
+      crash('c1');
+      await clock.advance(1500);
+      reply = () => {
+        crash('c2');
+        return new types.EndpointCallError('reset', true);
+      };
+      const responder = await request('/chat/x', 100, { prompt });
+      expect(responder.outcome).toBe('endpoint-failed');
+      expect(calls).toHaveLength(1);
+    });
+
+    test('sends a request that waits for its plan to no engine, and says so', async () => {
+      crash('c1');
+      await clock.advance(1500);
+      const { length } = calls;
+      const pending = request('/chat/x', 0, { prompt });
+      planOutcomes = [ready('m1')];
+      crash('c2');
+      expect((await pending).outcome).toBe('quarantined');
+      expect(calls).toHaveLength(length);
+    });
+
+    test('tells the planner whether the first bytes are of a success, and names the request', async () => {
+      planOutcomes = [ready('m1'), ready('m1'), ready('m1')];
+      reply = () => (calls.length === 1 ? answerOf(504, 'late') : answerOf(200, 'id: 1\n\n'));
+      await request('/chat/x', 100, { prompt });
+      await request('/chat/x', 100, { prompt });
+      await request('/chat/y', 100, { prompt });
+      expect(startedPlans).toEqual(['r#1 false', 'r#1 true', 'r#1 true']);
+      const fingerprints = plans.map(({ fingerprint }) => fingerprint);
+      expect(fingerprints[0]).toBe(fingerprints[1]);
+      expect(fingerprints[2]).not.toBe(fingerprints[1]);
+    });
+  });
+
   test('ignores a configuration that is older than the one in force', () => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
     gateway.configure({ version: 1, routes: [], services: new Map(), limits });
