--- a/src/blame/VerdictRules.ts
+++ b/src/blame/VerdictRules.ts
@@ -36,6 +36,8 @@
   readonly at: commonTypes.Millis;
   /** Request ids of the suspects with the trait. */
   readonly requests: readonly string[];
+  /** Prompt parts of these suspects. */
+  readonly parts: readonly string[];
 }
 
 /** Result of the rules. */
@@ -59,12 +61,10 @@
 ): IJudgement {
   const counts = countCrashes(crashes, proofs);
   const repeated = new Map([...counts].filter(([, counted]) => counted.length >= MIN_CRASHES));
-  const partsOfRequests = collectParts(repeated.size === 0 ? [] : crashes);
   const verdicts = new Map<string, types.IVerdict>();
   repeated.forEach((counted, trait) => {
-    const related = partsOfRequests.get(trait) ?? new Set();
     const blamedAfter = counted.findIndex((_, at) =>
-      isToBlame(trait, counted.slice(0, at + 1), repeated, related),
+      isToBlame(trait, counted.slice(0, at + 1), repeated),
     );
     if (blamedAfter >= 0) {
       verdicts.set(trait, {
@@ -97,7 +97,8 @@
       const counted = counts.get(trait) ?? [];
       const isNew = isNewEvidence(at, group, counted.at(-1)?.at);
       if (isNew && countsAgainst(at, proofs.get(trait))) {
-        counted.push({ id, at, requests: group.map(({ request }) => request) });
+        const requests = group.map(({ request }) => request);
+        counted.push({ id, at, requests, parts: group.flatMap(({ parts }) => parts) });
         counts.set(trait, counted);
       }
     });
@@ -132,37 +133,29 @@
   return groups;
 }
 
-/** Parts of each request: a request that crashes endpoints does so with all of its parts. */
-function collectParts(crashes: readonly ITimedCrash[]): ReadonlyMap<string, ReadonlySet<string>> {
-  const suspects = crashes.flatMap((crash) => crash.suspects);
-  return new Map(suspects.map(({ request, parts }) => [request, new Set(parts)]));
-}
-
-function isToBlame(
-  trait: string,
-  counted: readonly ICountedCrash[],
-  counts: Counts,
-  related: ReadonlySet<string>,
-): boolean {
+function isToBlame(trait: string, counted: readonly ICountedCrash[], counts: Counts): boolean {
   const requests = new Set(counted.flatMap((crash) => crash.requests));
   // A request is the only one with its own trait.
   const isRequest = requests.has(trait);
   if (counted.length < MIN_CRASHES || (!isRequest && requests.size < MIN_REQUESTS_OF_PART)) {
     return false;
   }
-  return counted.length >= MAX_CRASHES || !hasOtherCause(trait, counted, counts, related);
+  // A request that crashes endpoints does so with all of its parts, which are no other cause.
+  const ownParts = isRequest ? counted.flatMap(({ parts }) => parts) : [];
+  return (
+    counted.length >= MAX_CRASHES || !hasOtherCause(counted, counts, new Set([trait, ...ownParts]))
+  );
 }
 
-/** Whether another trait was present in all of the crashes, too. */
+/** Whether a trait that is not `excluded` was present in all of the crashes, too. */
 function hasOtherCause(
-  trait: string,
   counted: readonly ICountedCrash[],
   counts: Counts,
-  related: ReadonlySet<string>,
+  excluded: ReadonlySet<string>,
 ): boolean {
   return [...counts].some(([other, others]) => {
     const ids = new Set(others.map(({ id }) => id));
-    return other !== trait && !related.has(other) && counted.every(({ id }) => ids.has(id));
+    return !excluded.has(other) && counted.every(({ id }) => ids.has(id));
   });
 }
 
