Attribute crashes at the same time to one cause, and rival parts by trials

Tables also disagreed on crashes about 100 ms apart, since the transit of messages shifts their ages.

Crashes within 100 ms are now one event, for which only the traits at all of them may be to blame; the VM that records a crash decides that. A request is not blamed for crashes that a part of others explains, nor a part if another one explains all its crashes and more. Parts that explain the same crashes are refused together, and one request at a time with one of them is admitted: its end shows the part to blame. The coordinator checks again when it chooses an engine.

Tests: npx vitest run src/blame src/coordination/Coordinator.test.ts: 50 passed.

--- a/src/blame/BlameTable.ts
+++ b/src/blame/BlameTable.ts
@@ -53,8 +53,7 @@
   }
 
   /**
-   * Verdict on a request, of several the one that lasts longest; undefined if none of its traits is to blame. Until
-   * `until` the request is refused, later single requests are admitted.
+   * Verdict on a request, of several the one that lasts longest; undefined if none of its traits is to blame.
    *
    * @example
    * const verdict = table.verdictOf(traits);
@@ -71,11 +70,18 @@
       );
   }
 
-  /** Returns the refusal of a request while one of its traits is quarantined. */
+  /**
+   * Returns the refusal of a request while one of its traits is quarantined. A request that has one of several rival
+   * traits is not refused here: single ones are admitted as trials, which show the trait to blame.
+   */
   refusalOf(traits: types.IRequestTraits): types.IQuarantineRefusal | undefined {
     const verdict = this.verdictOf(traits);
     const left = (verdict?.until ?? 0) - this.deps.clock.monotonic();
-    return verdict === undefined || left <= 0
+    const isTrial =
+      verdict !== undefined &&
+      verdict.rivals.length > 0 &&
+      !verdict.rivals.some((rival) => rival === traits.request || traits.parts.includes(rival));
+    return verdict === undefined || left <= 0 || isTrial
       ? undefined
       : { trait: verdict.trait, retryAfter: left };
   }
@@ -88,7 +94,8 @@
     const suspects = crash.suspects
       .filter(({ request }) => mayBeToBlame(request))
       .map((suspect) => ({ ...suspect, parts: suspect.parts.filter(mayBeToBlame) }));
-    if (suspects.length > 0 && this.store.add({ ...crash, suspects })) {
+    const joins = this.store.findStartOf(crash.at);
+    if (this.store.add({ ...crash, joins, suspects })) {
       this.rejudge();
       this.fire([crash.id], [], true);
       this.dropExpired();
@@ -127,11 +134,11 @@
     this.dropExpired();
   }
 
-  /** What another VM needs to know to come to the same verdicts. */
+  /** All crashes and proofs, from which another VM comes to the same verdicts. */
   get news(): types.IBlameNews {
     this.dropExpired();
-    const counted = new Set([...this.judgement.suspected.values()].flat());
-    return this.newsOf([...counted], [...this.proofs.keys()]);
+    const ids = this.store.crashes.map(({ id }) => id);
+    return this.newsOf(ids, [...this.proofs.keys()]);
   }
 
   /** Number of crashes and of traits that the table holds, to check its bounds. */
@@ -197,7 +204,7 @@
     this.judgement.suspected.forEach((ids, trait) => {
       const isRepeated = ids.length >= verdictRules.MIN_CRASHES;
       if (isRepeated && ids.length > (previous.suspected.get(trait)?.length ?? 0)) {
-        this.deps.logService.info('trait-suspected', { trait, crashes: ids.join(',') });
+        this.deps.logService.info('trait-suspected', { trait, crashes: ids.flat().join(',') });
       }
     });
   }
--- a/src/blame/CrashStore.ts
+++ b/src/blame/CrashStore.ts
@@ -1,6 +1,6 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as types from './Types.js';
-import type * as verdictRules from './VerdictRules.js';
+import * as verdictRules from './VerdictRules.js';
 
 /** Time for which a crash counts at least; longer than the longest quarantine, which must not be forgotten before its end. */
 export const RETENTION_MS = 900_000;
@@ -11,13 +11,14 @@
 
 /** Returns the crash of a record that arrived at `now` on the monotonic clock. */
 export function timed(
-  { id, endpointId, age, suspects }: types.ICrashRecord,
+  { id, endpointId, age, joins, suspects }: types.ICrashRecord,
   now: commonTypes.Millis,
 ): verdictRules.ITimedCrash {
   return {
     id,
     endpointId,
     at: now - age,
+    joins,
     suspects: suspects.map(({ request, parts, placedAge }) => ({
       request,
       parts,
@@ -52,6 +53,14 @@
       .filter((crash) => crash !== undefined);
   }
 
+  /** Id of the first crash of those that have the same cause as one at `at`; undefined if there are none. */
+  findStartOf(at: commonTypes.Millis): string | undefined {
+    return this.crashes.find(
+      (crash) =>
+        crash.joins === undefined && Math.abs(at - crash.at) <= verdictRules.SAME_CAUSE_WINDOW_MS,
+    )?.id;
+  }
+
   /** Adds a crash, or suspects of a known one; returns whether it says something new. */
   add(crash: verdictRules.ITimedCrash): boolean {
     const known = this.byId.get(crash.id);
@@ -61,7 +70,8 @@
     const suspects = [...(known?.suspects ?? []), ...added]
       .sort((a, b) => a.placedAt - b.placedAt)
       .slice(0, MAX_SUSPECTS);
-    if (added.length === 0 || suspects.length === known?.suspects.length) {
+    // A crash without suspects shows that others at the same time have no cause of their own.
+    if (known !== undefined && (added.length === 0 || suspects.length === known.suspects.length)) {
       return false;
     }
     this.remove(crash.id);
@@ -100,10 +110,11 @@
     return ids
       .map((id) => this.byId.get(id))
       .filter((crash) => crash !== undefined)
-      .map(({ id, endpointId, at, suspects }) => ({
+      .map(({ id, endpointId, at, joins, suspects }) => ({
         id,
         endpointId,
         age: now - at,
+        joins,
         suspects: suspects.map(({ request, parts, placedAt }) => ({
           request,
           parts,
--- a/src/blame/QuarantineGate.test.ts
+++ b/src/blame/QuarantineGate.test.ts
@@ -80,6 +80,24 @@
     expect(admits('e')).toBe(true);
   });
 
+  it('admits one request with one of two rival parts at once', async () => {
+    const other = blame.makeTable(clock);
+    const rivals = new quarantineGate.QuarantineGate(other, clock, true);
+    for (let count = 0; count < 3; count++) {
+      await clock.advance(2000);
+      const at = clock.monotonic();
+      const suspects = [{ request: `${count}`, parts: ['p', 'q'], placedAt: at - 10 }];
+      other.recordCrash({ id: `${count}`, endpointId: 'e', at, suspects });
+    }
+    const admitted = [['p', 'q'], ['p'], ['q'], ['p']].map(
+      (parts, id) => rivals.admit(`${id}`, { request: `r${id}`, parts }) === undefined,
+    );
+    expect(admitted).toEqual([false, true, false, false]);
+    other.recordProof({ request: 'r1', parts: ['p'] });
+    expect(rivals.admit('4', { request: 'r4', parts: ['p'] })).toBeUndefined();
+    expect(rivals.admit('5', { request: 'r5', parts: ['q'] })).toBeDefined();
+  });
+
   it('admits no trial where trials are for others', async () => {
     const other = new quarantineGate.QuarantineGate(table, clock, false);
     await clock.advance(verdictRules.QUARANTINE_MS);
--- a/src/blame/QuarantineGate.ts
+++ b/src/blame/QuarantineGate.ts
@@ -18,7 +18,7 @@
  * is admitted as a trial, until one succeeds or crashes its endpoint, which costs at most one endpoint per quarantine.
  */
 export class QuarantineGate {
-  /** Trials by trait. */
+  /** Trials by the traits that are blamed for the same crashes. */
   private readonly trials = new Map<string, ITrial>();
 
   /** Without `admitsTrials`, a trait stays refused until another VM has seen a success. */
@@ -39,34 +39,42 @@
     if (verdict === undefined) {
       return undefined;
     }
-    const { trait, until } = verdict;
-    const now = this.clock.monotonic();
-    if (now < until) {
-      return { trait, retryAfter: until - now };
-    }
-    const trial = this.trials.get(trait);
-    const isTaken = trial !== undefined && trial.id !== id && now < trial.endsAt;
-    if (!this.admitsTrials || isTaken) {
-      return { trait, retryAfter: isTaken ? trial.endsAt - now : TRIAL_TIMEOUT_MS };
-    }
-    this.trials.set(trait, { id, endsAt: now + TRIAL_TIMEOUT_MS });
-    this.clock.setTimer(TRIAL_TIMEOUT_MS, () => this.removeEnded(trait));
-    return undefined;
+    const refusal = this.table.refusalOf(traits);
+    return refusal ?? this.admitTrial(id, verdict);
   }
 
   /** Records that a request has ended; unknown ids are ignored. */
   release(id: string): void {
     const endsAt = this.clock.monotonic() + OUTCOME_DELAY_MS;
-    this.trials.forEach((trial, trait) => {
+    this.trials.forEach((trial, key) => {
       if (trial.id === id) {
-        this.trials.set(trait, { id: undefined, endsAt: Math.min(trial.endsAt, endsAt) });
+        this.trials.set(key, { id: undefined, endsAt: Math.min(trial.endsAt, endsAt) });
       }
     });
   }
 
-  private removeEnded(trait: string): void {
-    if ((this.trials.get(trait)?.endsAt ?? 0) <= this.clock.monotonic()) {
-      this.trials.delete(trait);
+  /** Admits one request at a time for all traits that are blamed for the same crashes. */
+  private admitTrial(
+    id: string,
+    { trait, rivals }: types.IVerdict,
+  ): types.IQuarantineRefusal | undefined {
+    const key = [trait, ...rivals].sort().join();
+    const now = this.clock.monotonic();
+    const trial = this.trials.get(key);
+    const isTaken = trial !== undefined && trial.id !== id && now < trial.endsAt;
+    if (!this.admitsTrials || isTaken) {
+      return { trait, retryAfter: isTaken ? trial.endsAt - now : TRIAL_TIMEOUT_MS };
+    }
+    if (trial?.id !== id) {
+      this.trials.set(key, { id, endsAt: now + TRIAL_TIMEOUT_MS });
+      this.clock.setTimer(TRIAL_TIMEOUT_MS, () => this.removeEnded(key));
+    }
+    return undefined;
+  }
+
+  private removeEnded(key: string): void {
+    if ((this.trials.get(key)?.endsAt ?? 0) <= this.clock.monotonic()) {
+      this.trials.delete(key);
     }
   }
 }
--- a/src/blame/Types.ts
+++ b/src/blame/Types.ts
@@ -22,6 +22,8 @@
   readonly id: string;
   readonly endpointId: string;
   readonly age: commonTypes.Millis;
+  /** Id of an earlier crash at the same time, which has the same cause. Decided once, since ages lack the precision. */
+  readonly joins?: string | undefined;
   readonly suspects: readonly ISuspect[];
 }
 
@@ -52,6 +54,8 @@
   readonly lastCrashAt: commonTypes.Millis;
   /** Ids of the crashes, the oldest first. */
   readonly crashIds: readonly string[];
+  /** Other traits to blame for the same crashes, of which one may be the only cause. */
+  readonly rivals: readonly string[];
 }
 
 /** Refusal of a request with a quarantined trait. */
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -171,11 +171,6 @@
       this.recordFailure(planId, failed);
     }
     this.quarantine.recordEnded(planId, failure === 'broken' ? 'broken' : 'not-run', failed);
-    const refusal = plan === undefined ? undefined : this.quarantine.check(plan.req);
-    if (refusal !== undefined) {
-      this.removePlan(planId);
-      return Promise.resolve(refusal);
-    }
     if (plan?.results === undefined || this.hasExpiringResults(plan)) {
       this.removePlan(planId);
       return Promise.resolve({
@@ -286,6 +281,11 @@
    */
   private placeRequest(planId: string, plan: IPlanState): void {
     const { req, avoid, results = [] } = plan;
+    const refusal = this.quarantine.check(req);
+    if (refusal !== undefined) {
+      this.refusePlan(planId, plan, refusal.reason, refusal.retryAfter);
+      return;
+    }
     const inputs = results.map(({ maker, bytes }) => ({ zone: maker.availabilityZone, bytes }));
     const placement = { planId, prompt: req.prompt, inputs, avoid };
     const placer = this.placers.get(req.service);
