--- a/src/blame/VerdictRules.ts
+++ b/src/blame/VerdictRules.ts
@@ -92,7 +92,7 @@
         trait,
         until: endOfQuarantine(counted.slice(blamedAfter)),
         lastCrashAt: counted.at(-1)?.at ?? 0,
-        crashIds: counted.flatMap(({ ids }) => ids),
+        crashIds: [...new Set(counted.flatMap(({ ids }) => ids))],
         rivals: [],
       });
     }
@@ -124,7 +124,7 @@
       const record = records.get(trait) ?? { counted: [], present: new Set() };
       records.set(trait, record);
       const id = ids[0] ?? '';
-      record.present.add(id);
+      ids.forEach((each) => record.present.add(each));
       if (isNewEvidence(at, group, record.counted.at(-1)?.at)) {
         const requests = group.map(({ request }) => request);
         const parts = group.flatMap((suspect) => suspect.parts);
