--- a/src/blame/CrashStore.ts
+++ b/src/blame/CrashStore.ts
@@ -5,7 +5,7 @@
 /** Time for which a crash counts at least; longer than the longest quarantine, which must not be forgotten before its end. */
 export const RETENTION_MS = 900_000;
 /** Maximum number of crashes. */
-export const MAX_CRASHES = 64;
+const MAX_CRASHES = 64;
 /** Maximum number of suspects of one crash, the first sent ones. */
 const MAX_SUSPECTS = 128;
 
--- a/src/blame/VerdictRules.ts
+++ b/src/blame/VerdictRules.ts
@@ -7,7 +7,7 @@
 /** Duration of the first quarantine of a trait. */
 export const QUARANTINE_MS = 60_000;
 /** Upper bound of the duration, which doubles with each crash after the end of a quarantine. */
-export const MAX_QUARANTINE_MS = 600_000;
+const MAX_QUARANTINE_MS = 600_000;
 /** Crashes within this time have one cause: a trait of suspects at each of them, or none, as in a power failure. */
 export const SAME_CAUSE_WINDOW_MS = 100;
 /** A later crash within this time says something new only if a suspect was sent after the previous one. */
