--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -2,24 +2,21 @@
 import * as stageScheduler from '../batching/StageScheduler.js';
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
-import type * as commonServices from '../common/services/Services.js';
 import * as enginePlacer from '../placing/EnginePlacer.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import * as placementQueue from './PlacementQueue.js';
 import * as planAdmission from './PlanAdmission.js';
+import * as planQuarantine from './PlanQuarantine.js';
 import * as resultReleaser from './ResultReleaser.js';
 import type * as types from './Types.js';
 
 /** Components that a coordinator uses. */
-export interface ICoordinatorDependencies {
-  readonly clock: commonTypes.IClock;
+export interface ICoordinatorDependencies extends planQuarantine.IPlanQuarantineDependencies {
   readonly caller: batching.IStageCaller;
   readonly directory: endpointDirectory.EndpointDirectory;
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
-  readonly logService: commonServices.ILogService;
-  readonly metrics: commonServices.IMetricsService;
 }
 
 interface IPlanState {
@@ -59,6 +56,8 @@
 
   private readonly admission: planAdmission.PlanAdmission;
 
+  private readonly quarantine: planQuarantine.PlanQuarantine;
+
   private routingTable: routing.IRoutingTable | undefined;
 
   private readonly subscription: commonTypes.IDisposable;
@@ -77,6 +76,7 @@
       placerOf: (service) => this.placers.get(service),
       unplacedPlans: (service, priority) => this.countUnplaced(service, priority),
     });
+    this.quarantine = new planQuarantine.PlanQuarantine(deps, () => this.refuseQuarantined());
   }
 
   /** Applies a version of the configuration. */
@@ -101,8 +101,9 @@
     onResult: types.ResultListener = () => {},
   ): Promise<types.PlanOutcome> {
     const held = [...req.held, ...this.takeOverResults(req.requestId)];
-    const refusal = this.admission.check(req, held);
+    const refusal = this.quarantine.check(req) ?? this.admission.check(req, held);
     if (refusal !== undefined) {
+      this.quarantine.recordEnded(req.planId, 'left');
       this.freeResults(held);
       this.logOutcome(req, refusal, 0);
       return Promise.resolve(refusal);
@@ -170,11 +171,16 @@
   }
 
   /** @inheritdoc */
-  reassign(planId: string, failed: string, isHealthy: boolean): Promise<types.PlanOutcome> {
+  reassign(
+    planId: string,
+    failed: string,
+    failure: types.EngineFailure,
+  ): Promise<types.PlanOutcome> {
     const plan = this.plans.get(planId);
-    if (!isHealthy) {
+    if (failure !== 'limited') {
       this.recordFailure(planId, failed);
     }
+    this.quarantine.recordEnded(planId, failure === 'broken' ? 'broken' : 'not-run', failed);
     if (plan?.results === undefined || this.hasExpiringResults(plan)) {
       this.removePlan(planId);
       return Promise.resolve({
@@ -196,7 +202,10 @@
   }
 
   /** @inheritdoc */
-  markStarted(planId: string): void {
+  markStarted(planId: string, isSuccess: boolean): void {
+    if (isSuccess) {
+      this.quarantine.recordStarted(planId);
+    }
     const plan = this.plans.get(planId);
     if (plan !== undefined) {
       this.placers.get(plan.req.service)?.markStarted(planId);
@@ -210,6 +219,7 @@
     if (failed !== undefined) {
       this.recordFailure(planId, failed);
     }
+    this.quarantine.recordEnded(planId, failed === undefined ? 'whole' : 'broken', failed);
     this.removePlan(planId);
   }
 
@@ -219,6 +229,7 @@
     [...this.plans.keys()].forEach((id) => this.removePlan(id));
     this.schedulers.forEach((scheduler) => scheduler.dispose());
     this.placementQueue.dispose();
+    this.quarantine.dispose();
     this.releaser.dispose();
   }
 
@@ -280,6 +291,11 @@
    */
   private placeRequest(planId: string, plan: IPlanState): void {
     const { req, avoid, results = [] } = plan;
+    const refusal = this.quarantine.check(req);
+    if (refusal !== undefined) {
+      this.refusePlan(planId, plan, refusal.reason, refusal.retryAfter);
+      return;
+    }
     const inputs = results.map(({ maker, bytes }) => ({ zone: maker.availabilityZone, bytes }));
     const placement = { planId, prompt: req.prompt, inputs, avoid };
     const placer = this.placers.get(req.service);
@@ -293,6 +309,7 @@
       }
       return;
     }
+    this.quarantine.recordPlaced(req, endpoint);
     this.resolvePlan(plan, {
       kind: 'ready',
       endpoint,
@@ -332,6 +349,16 @@
     ).length;
   }
 
+  /** Refuses the plans without an engine that have a quarantined trait. */
+  private refuseQuarantined(): void {
+    [...this.plans].forEach(([planId, plan]) => {
+      const refusedFor = plan.resolve === undefined ? 0 : this.quarantine.refusedFor(plan.req);
+      if (refusedFor > 0) {
+        this.refusePlan(planId, plan, 'quarantined', refusedFor);
+      }
+    });
+  }
+
   private refusePlan(
     planId: string,
     plan: IPlanState,
@@ -358,6 +385,7 @@
     }
     plan.retention.dispose();
     this.plans.delete(planId);
+    this.quarantine.recordEnded(planId, 'left');
     this.placementQueue.delete(planId);
     if (this.latestPlanIds.get(plan.req.requestId) === planId) {
       this.latestPlanIds.delete(plan.req.requestId);
--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -1,5 +1,8 @@
 import * as grpc from '@grpc/grpc-js';
 import * as vitest from 'vitest';
+import * as blameSync from '../blame/BlameSync.js';
+import type * as blameTable from '../blame/BlameTable.js';
+import * as blame from '../blame/testing/Blame.js';
 import * as seededRandom from '../common/SeededRandom.js';
 import * as systemClock from '../common/SystemClock.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
@@ -26,6 +29,7 @@
   readonly address: string;
   readonly table: rateLimitTable.RateLimitTable;
   readonly coordinator: coordinators.Coordinator;
+  readonly crashes: blameTable.BlameTable;
   stop(): void;
 }
 
@@ -39,10 +43,12 @@
   const directory = new endpointDirectory.EndpointDirectory();
   directory.replace({ revision: 1, endpoints: [] });
   const table = new rateLimitTable.RateLimitTable({ clock, logService, metrics });
+  const crashes = blame.makeBlame(clock);
   const coordinator = new coordinators.Coordinator({
     clock,
     caller: { run: async () => [], free: async () => true },
     directory,
+    ...crashes,
     rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
     logService,
     metrics,
@@ -53,6 +59,7 @@
     directory,
     coordinator,
     rateLimitTable: table,
+    blameTable: crashes.blameTable,
     rateLimiter: new sharedRateLimiter.SharedRateLimiter(table, clock, () => true),
     clock,
     logService,
@@ -68,7 +75,8 @@
     server.forceShutdown();
   };
   disposables.push({ dispose: stop });
-  return { address: `127.0.0.1:${port}`, table, coordinator, stop };
+  const address = `127.0.0.1:${port}`;
+  return { address, table, coordinator, crashes: crashes.blameTable, stop };
 }
 
 function startClient(vm: string, seeds: () => readonly string[]): feedClient.FeedClient {
@@ -184,3 +192,40 @@
   expect(client.isConnected).toBe(true);
   expect(cancel).not.toHaveBeenCalledWith('r#1');
 });
+
+test('a quarantine reaches all VMs, and each new coordinator, and its end does', async () => {
+  const first = await startLeader();
+  const second = await startLeader();
+  let seeds = [first.address];
+  const tables = ['a', 'b'].map((vm) => {
+    const client = startClient(vm, () => seeds);
+    const table = blame.makeTable(clock);
+    disposables.push(new blameSync.BlameSync(table, client));
+    return { client, table };
+  });
+  await until(() => tables.every(({ client }) => client.isConnected));
+  const traits = { request: 'r', parts: ['part'] };
+  const isRefused = (table: blameTable.BlameTable): boolean =>
+    table.refusalOf(traits) !== undefined;
+  ['first', 'second'].forEach((id, index) => {
+    const at = clock.monotonic() - 5000 + 2000 * index;
+    const suspects = [{ request: id, parts: ['part'], placedAt: at - 10 }];
+    first.crashes.recordCrash({ id, endpointId: 'e', at, suspects });
+  });
+  await until(() => tables.every(({ table }) => isRefused(table)));
+  seeds = [second.address];
+  first.stop();
+  await until(() => isRefused(second.crashes));
+  const later = blame.makeTable(clock);
+  disposables.push(
+    new blameSync.BlameSync(
+      later,
+      startClient('later', () => seeds),
+    ),
+  );
+  await until(() => isRefused(later));
+  second.crashes.recordProof(traits);
+  await until(() =>
+    [later, ...tables.map(({ table }) => table)].every((table) => !isRefused(table)),
+  );
+});
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -1,3 +1,6 @@
+import type * as blameTable from '../blame/BlameTable.js';
+import * as blameTraits from '../blame/Traits.js';
+import type * as blame from '../blame/Types.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as coordination from '../coordination/Types.js';
@@ -23,6 +26,7 @@
 /** Collaborators of an EngineRequestHandler. */
 export interface IEngineRequestDependencies extends types.IRequestHandlerDependencies {
   readonly planner: coordination.IPlanner;
+  readonly blameTable: blameTable.BlameTable;
 }
 
 /** Outcome of an attempt. */
@@ -37,7 +41,9 @@
   /** The response is truncated or not authentic, or it is an error response after the stream had started. */
   | { readonly kind: 'cut'; readonly reason: string }
   /** The request was sent, at least in part, but no response arrived. */
-  | { readonly kind: 'lost' };
+  | { readonly kind: 'lost' }
+  /** The attempt was cancelled because a trait of the request was quarantined meanwhile. */
+  | { readonly kind: 'quarantined' };
 
 /**
  * Handles one request to a model engine. The planner runs the stages of the request and chooses an engine; the response
@@ -57,12 +63,20 @@
   /** Whether the stage results of the current plan were released, because an engine started to respond. */
   private inputsReleased = false;
 
+  /** Identifies the request and its resends. */
+  private readonly fingerprint: string;
+
+  private readonly traits: blame.IRequestTraits;
+
   /** Handles the request of `scope`; `run` starts it. */
   constructor(
     private readonly scope: requestScope.RequestScope,
     private readonly deps: IEngineRequestDependencies,
   ) {
+    const { request, service, workspace } = scope;
     this.relay = new eventRelay.EventRelay(scope);
+    this.fingerprint = blameTraits.fingerprintOf({ ...request, workspace: workspace?.name });
+    this.traits = blameTraits.traitsOf(service, this.fingerprint, request.prompt);
   }
 
   /** Plans and makes attempts until the caller has a response or the request ends. */
@@ -71,8 +85,9 @@
     deps.budget.recordRequest();
     const unregister = scope.onFinish(() => deps.planner.cancel(this.planId));
     let avoid: readonly string[] = [];
-    let outcome = await this.plan(avoid);
+    let outcome = this.quarantineRefusal ?? (await this.plan(avoid));
     while (!scope.isFinished) {
+      outcome = this.quarantineRefusal ?? outcome;
       if (outcome.kind === 'refused') {
         const mayReplan = await this.mayReplan(outcome);
         if (scope.isFinished) {
@@ -91,6 +106,9 @@
         unregister();
         return;
       }
+      if (attempt.kind === 'quarantined') {
+        continue;
+      }
       avoid = [...avoid, endpoint.id];
       if (!this.mayRetry(attempt)) {
         deps.planner.markEnded(this.planId, attempt.kind === 'not-run' ? undefined : endpoint.id);
@@ -102,6 +120,12 @@
     }
   }
 
+  /** Refusal of the request while one of its traits is quarantined. */
+  private get quarantineRefusal(): coordination.IPlanRefused | undefined {
+    const refusal = this.deps.blameTable.refusalOf(this.traits);
+    return refusal && { kind: 'refused', reason: 'quarantined', retryAfter: refusal.retryAfter };
+  }
+
   /** Chooses an engine for the next attempt: under the current plan if its stage results are kept, else by a new plan. */
   private chooseNextEngine(
     attempt: AttemptOutcome,
@@ -110,8 +134,9 @@
   ): Promise<coordination.PlanOutcome> {
     const inputsLost = attempt.kind === 'not-run' && attempt.inputsLost;
     if (!inputsLost && !this.inputsReleased) {
-      const isHealthy = attempt.kind === 'not-run' && attempt.isLimited;
-      return this.deps.planner.reassign(this.planId, endpoint.id, isHealthy);
+      const notRun = attempt.kind === 'not-run' && attempt.isLimited ? 'limited' : 'not-run';
+      const failure = attempt.kind === 'not-run' ? notRun : 'broken';
+      return this.deps.planner.reassign(this.planId, endpoint.id, failure);
     }
     const failed = attempt.kind === 'not-run' ? undefined : endpoint.id;
     this.deps.planner.markEnded(this.planId, failed);
@@ -130,6 +155,7 @@
     return deps.planner.plan({
       planId: this.planId,
       requestId: request.id,
+      fingerprint: this.fingerprint,
       service: scope.service,
       stages: route.stages,
       pieces: request.pieces,
@@ -172,7 +198,9 @@
   private rejectRefused(outcome: coordination.PlanOutcome & { kind: 'refused' }): void {
     const { scope } = this;
     const { reason, retryAfter } = outcome;
-    this.log('rejected', { reason, retryAfter: Math.round(retryAfter) });
+    const trait = this.deps.blameTable.verdictOf(this.traits)?.trait;
+    const cause = reason === 'quarantined' ? { trait } : {};
+    this.log('rejected', { reason, retryAfter: Math.round(retryAfter), ...cause });
     if (scope.responseStarted) {
       scope.responder.abort();
     } else if (scope.isNotRun) {
@@ -211,10 +239,21 @@
     const started = deps.clock.monotonic();
     const call = deps.caller.send(this.buildCall(endpoint, inputs));
     const unregister = scope.onFinish(() => call.cancel());
+    let isQuarantined = false;
+    const subscription = deps.blameTable.onVerdict(() => {
+      isQuarantined = !this.inputsReleased && this.quarantineRefusal !== undefined;
+      if (isQuarantined) {
+        call.cancel();
+      }
+    });
     try {
       const answer = await call.answer;
       const outcome = await this.relayAnswer(answer);
       const took = Math.round(deps.clock.monotonic() - started);
+      if (isQuarantined) {
+        this.log('sending-ended', { endpoint: endpoint.id, end: 'quarantined', took });
+        return { kind: 'quarantined' };
+      }
       const reason = outcome.kind === 'cut' ? outcome.reason : undefined;
       this.log('sending-ended', { endpoint: endpoint.id, end: outcome.kind, took, reason });
       if (outcome.kind === 'cut') {
@@ -229,15 +268,19 @@
         call.cancel();
         throw err;
       }
-      this.log('sending-ended', { endpoint: endpoint.id, end: 'lost', reason: err.message });
-      deps.metrics.count('answer_lost', { kind: 'engine' });
+      const end = isQuarantined ? 'quarantined' : 'lost';
+      this.log('sending-ended', { endpoint: endpoint.id, end, reason: err.message });
+      if (end === 'lost') {
+        deps.metrics.count('answer_lost', { kind: 'engine' });
+      }
       if (err.sent) {
         scope.mayHaveRun = true;
-        return { kind: 'lost' };
+        return { kind: end };
       }
       this.executions -= 1;
       return { kind: 'not-run', inputsLost: false, isLimited: false };
     } finally {
+      subscription.dispose();
       unregister();
       scope.attemptsInFlight -= 1;
     }
@@ -264,7 +307,7 @@
       scope.responseStarted = true;
     }
     const end = await this.relay.relay(answer, () => {
-      deps.planner.markStarted(this.planId);
+      deps.planner.markStarted(this.planId, isStream);
       this.inputsReleased = true;
       this.log('first-event', {});
     });
@@ -295,7 +338,7 @@
     if ('fault' in result) {
       return { kind: 'cut', reason: result.fault };
     }
-    this.deps.planner.markStarted(this.planId);
+    this.deps.planner.markStarted(this.planId, false);
     this.inputsReleased = true;
     scope.responder.answer(answer, result.body);
     this.finishAnswered(answer);
