Let a request's deadline, not the idle timeout, limit the reading of its answer

A caller that stopped reading a complete plain answer of 8 MB for 2.2 s was cut under an idle timeout of 1 s, before its deadline; under one of 15 s the rest was held past deadline and route timeout.

Cause: once the answer is complete the request has ended, and the idle timeout was all that limited the sending.

--- a/src/entry/endpoints/HttpEndpointClient.ts
+++ b/src/entry/endpoints/HttpEndpointClient.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import type * as configTypes from '../../config/Types.js';
 import type * as entryTypes from '../Types.js';
 import * as chunkQueue from './ChunkQueue.js';
@@ -147,6 +148,8 @@
     res: http.IncomingMessage,
     signal: AbortSignal,
   ): Promise<Uint8Array> {
+    // Node detaches the socket from a response that has ended on a connection that is kept.
+    const { socket } = res;
     return new Promise((resolve, reject) => {
       const chunks: Buffer[] = [];
       let receivedBytes = 0;
@@ -158,7 +161,7 @@
         }
       });
       res.once('end', () => {
-        if (isReset(res)) {
+        if (isReset(socket)) {
           reject(failureOf(pendingCall, signal));
         } else {
           resolve(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks));
@@ -182,6 +185,7 @@
       () => res.isPaused() && res.resume(),
       () => pendingCall.req.destroy(),
     );
+    const { socket } = res;
     let tail: Buffer = Buffer.alloc(0);
     res.on('data', (chunk: Buffer) => {
       tail = chunk.length >= END_MARK_WINDOW_BYTES ? chunk : joinTail(tail, chunk);
@@ -190,7 +194,7 @@
       }
     });
     res.once('end', () => {
-      if (isReset(res) || (isEventStream(res) && !endsWithEndMark(tail))) {
+      if (isReset(socket) || (isEventStream(res) && !endsWithEndMark(tail))) {
         queue.fail(failureOf(pendingCall, signal));
       } else {
         queue.end();
@@ -228,8 +232,8 @@
 }
 
 /** Whether the connection broke. Node reports the end of a body without a length after a reset, too. */
-function isReset(res: http.IncomingMessage): boolean {
-  return res.socket.errored !== null;
+function isReset(socket: net.Socket): boolean {
+  return socket.errored !== null;
 }
 
 /** Reads a body without keeping it; closes its connection if the body is too long. */
--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -5,6 +5,8 @@
 
 /** A connection between two requests closes this long after the idle timeout, for requests sent just before it. */
 const CLOSE_DELAY_MS = 500;
+/** Time that a caller has at least to read an answer that is complete close to the deadline of its request. */
+const MIN_SEND_TIME_MS = 1000;
 /** While the server shuts down, a connection that has not been used yet may wait this long for its first request. */
 const UNUSED_GRACE_MS = 1000;
 
@@ -43,8 +45,8 @@
 
 /**
  * Enforces the idle timeout on the connections of callers. It limits the time for which a caller may be idle: between
- * two requests, within a body, and while it does not read the rest of a complete answer. It never runs while a request
- * waits for its answer, whose time the deadline of the request limits. The server's header timeout limits heads.
+ * two requests and within a body. It never runs while a request waits for its answer, or while the caller reads a complete
+ * one: the deadline of the request limits that time. The server's header timeout limits heads.
  *
  * @example
  * const connections = new CallerConnections(deps, 15_000);
@@ -53,8 +55,8 @@
 export class CallerConnections implements commonTypes.IDisposable {
   private readonly connections = new Map<net.Socket, IConnection>();
 
-  /** Answers that are complete but not sent to the caller yet. */
-  private readonly unsentAnswers = new Set<http.ServerResponse>();
+  /** Times by which callers must have read their answers. */
+  private readonly sendDeadlines = new WeakMap<http.ServerResponse, commonTypes.Millis>();
 
   /** `idleTimeout` applies until `setIdleTimeout` is called. */
   constructor(
@@ -109,7 +111,6 @@
       }
       this.startTimer(connection);
     });
-    this.unsentAnswers.forEach((res) => res.socket?.setTimeout(idleTimeout));
   }
 
   /** Records that the head of a request has arrived. */
@@ -156,6 +157,11 @@
     res.once('close', () => this.endAnswer(connection, res));
   }
 
+  /** Sets the time by which the caller must have read an answer; without it, the idle timeout limits a complete one. */
+  setSendDeadline(res: http.ServerResponse, deadline: commonTypes.Millis): void {
+    this.sendDeadlines.set(res, deadline);
+  }
+
   /** Whether a request on the connection waits for its answer, or was read completely and is about to. */
   isAnswering(socket: net.Socket): boolean {
     const connection = this.connections.get(socket);
@@ -226,21 +232,21 @@
     }
   }
 
-  /** Closes the connection if the caller reads nothing of a complete answer for the idle timeout. */
+  /** Closes the connection if the caller has not read a complete answer at the deadline of its request. */
   private limitSending(socket: net.Socket, res: http.ServerResponse, requestId: string): void {
-    this.unsentAnswers.add(res);
-    res.setTimeout(this.idleTimeout, () => {
-      const { logService, metrics } = this.deps;
+    const { clock, logService, metrics } = this.deps;
+    const now = clock.monotonic();
+    const deadline = this.sendDeadlines.get(res) ?? now + this.idleTimeout;
+    const timer = clock.setTimer(Math.max(MIN_SEND_TIME_MS, deadline - now), () => {
       logService.info('caller-not-reading', { request: requestId, unsent: socket.writableLength });
       metrics.count('caller_disconnects', { cause: 'not-reading' });
       socket.destroy();
     });
+    res.once('close', () => timer.dispose());
   }
 
   private endAnswer(connection: IConnection, res: http.ServerResponse): void {
     const { socket } = connection;
-    this.unsentAnswers.delete(res);
-    socket.setTimeout(0);
     Object.assign(connection, { waitingAnswers: connection.waitingAnswers - 1 });
     if (connection.waitingAnswers > 0 || socket.destroyed) {
       return;
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -92,6 +92,8 @@
     this.disconnectListener?.('caller-closed');
   }
 
+  limitSending(): void {}
+
   answer(answer: types.IEndpointAnswer, body: Buffer): void {
     this.outcome = String(answer.status);
     this.text = body.toString();
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -167,6 +167,7 @@
       (expired) => this.timeOut(expired),
       (left, cause) => this.recordDisconnect(left, cause),
     );
+    responder.limitSending(scope.deadline);
     this.openScopes.add(scope);
     scope.onFinish(() => {
       this.openScopes.delete(scope);
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -67,6 +67,8 @@
   readonly isDisconnected: boolean;
   /** Calls `listener` once if the connection closes before the response is complete. */
   onDisconnect(listener: (cause: DisconnectCause) => void): void;
+  /** Sets the time by which the caller must have read the response; the connection is closed then. */
+  limitSending(deadline: commonTypes.Millis): void;
   /** Sends the complete response of an endpoint. */
   answer(answer: IEndpointAnswer, body: Buffer): void;
   /** Sends the status and headers of an endpoint's response; the body follows with `write` and `end`. */
