--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -154,7 +154,7 @@
     connection.waitingAnswers += 1;
     this.enterState(connection, 'answer');
     res.once('prefinish', () => this.limitSending(socket, res, requestId));
-    res.once('close', () => this.endAnswer(connection, res));
+    res.once('close', () => this.endAnswer(connection));
   }
 
   /** Sets the time by which the caller must have read an answer; without it, the idle timeout limits a complete one. */
@@ -245,7 +245,7 @@
     res.once('close', () => timer.dispose());
   }
 
-  private endAnswer(connection: IConnection, res: http.ServerResponse): void {
+  private endAnswer(connection: IConnection): void {
     const { socket } = connection;
     Object.assign(connection, { waitingAnswers: connection.waitingAnswers - 1 });
     if (connection.waitingAnswers > 0 || socket.destroyed) {
