Run no request on a connection after a 408, and close connections left with blank lines

A caller whose head came later than the header timeout got 408, which promises that the request is not run, and the server ran it when the rest of the head arrived; the connection of a caller that kept its side open stayed for ever and held up the shutdown. A blank line after an answer made the new idle timer take the connection for one with a head and never look again.

--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -7,6 +7,8 @@
 const CLOSE_DELAY_MS = 500;
 /** Time that a caller has at least to read an answer that is complete close to the deadline of its request. */
 const MIN_SEND_TIME_MS = 1000;
+/** Time by which the server's check of header timeouts may be late. */
+const HEAD_CHECK_MARGIN_MS = 1500;
 /** While the server shuts down, a connection that has not been used yet may wait this long for its first request. */
 const UNUSED_GRACE_MS = 1000;
 
@@ -34,6 +36,8 @@
   since: commonTypes.Millis;
   /** Bytes that had arrived when state `request` began. */
   bytesBefore: number;
+  /** Bytes that had arrived when the timer of state `request` expired last, or when the state began. */
+  checkedBytes: number;
   timer: commonTypes.IDisposable | undefined;
   /** Latest request whose head has arrived. */
   latest: http.IncomingMessage | undefined;
@@ -58,10 +62,11 @@
   /** Times by which callers must have read their answers. */
   private readonly sendDeadlines = new WeakMap<http.ServerResponse, commonTypes.Millis>();
 
-  /** `idleTimeout` applies until `setIdleTimeout` is called. */
+  /** The timeouts apply until `setTimeouts` is called; `headerTimeout` is the one that the server enforces. */
   constructor(
     private readonly deps: ICallerConnectionsDependencies,
     private idleTimeout: commonTypes.Millis,
+    private headerTimeout: commonTypes.Millis,
   ) {}
 
   /** Number of open connections. */
@@ -78,6 +83,7 @@
       waitingAnswers: 0,
       since: 0,
       bytesBefore: 0,
+      checkedBytes: 0,
       timer: undefined,
       latest: undefined,
       onStalledBody: undefined,
@@ -92,11 +98,12 @@
   }
 
   /**
-   * Applies a changed timeout to open connections. A longer one counts from the caller's last progress; a shorter one
+   * Applies changed timeouts to open connections. A longer idle timeout counts from the caller's last progress; a shorter one
    * from now at the earliest, because callers may rely on the longer one until they learn of the change.
    */
-  setIdleTimeout(idleTimeout: commonTypes.Millis): void {
+  setTimeouts(idleTimeout: commonTypes.Millis, headerTimeout: commonTypes.Millis): void {
     const { clock } = this.deps;
+    this.headerTimeout = headerTimeout;
     const previous = this.idleTimeout;
     this.idleTimeout = idleTimeout;
     if (idleTimeout === previous) {
@@ -169,6 +176,16 @@
     return isWaiting || (connection?.state === 'body' && connection.latest?.complete === true);
   }
 
+  /** Whether a rejection was sent on the connection, or is to be: no later request on it is handled. */
+  isRejecting(socket: net.Socket): boolean {
+    return socket.writableEnded || this.connections.get(socket)?.rejection !== undefined;
+  }
+
+  /** Sends `response` and closes the connection, although the caller may keep its side open. */
+  static endWith(socket: net.Socket, response: string): void {
+    socket.end(response, () => socket.destroySoon());
+  }
+
   /** Writes `response` and closes the connection once the requests that wait on it are answered. */
   rejectAfterAnswers(socket: net.Socket, response: string): void {
     const connection = this.connections.get(socket);
@@ -203,6 +220,7 @@
       state,
       since: this.deps.clock.monotonic(),
       bytesBefore: connection.socket.bytesRead,
+      checkedBytes: connection.socket.bytesRead,
     });
     this.startTimer(connection);
   }
@@ -226,12 +244,29 @@
       this.startTimer(connection);
     } else if (connection.state === 'body') {
       connection.onStalledBody?.();
-    } else if (CallerConnections.isIdle(connection)) {
+    } else if (connection.socket.bytesRead === connection.checkedBytes) {
       this.deps.metrics.count('idle_connections_closed');
       connection.socket.destroy();
+    } else {
+      this.checkAgain(connection);
     }
   }
 
+  /**
+   * Checks a connection again on which bytes have arrived but no head: the header timeout limits a head that has begun,
+   * but nothing limits blank lines.
+   */
+  private checkAgain(connection: IConnection): void {
+    const { clock } = this.deps;
+    Object.assign(connection, {
+      checkedBytes: connection.socket.bytesRead,
+      since: clock.monotonic(),
+      timer: clock.setTimer(this.headerTimeout + HEAD_CHECK_MARGIN_MS, () =>
+        this.expire(connection),
+      ),
+    });
+  }
+
   /** Closes the connection if the caller has not read a complete answer at the deadline of its request. */
   private limitSending(socket: net.Socket, res: http.ServerResponse, requestId: string): void {
     const { clock, logService, metrics } = this.deps;
@@ -252,7 +287,7 @@
       return;
     }
     if (connection.rejection !== undefined) {
-      socket.end(connection.rejection);
+      CallerConnections.endWith(socket, connection.rejection);
     } else if (connection.state === 'answer') {
       this.enterState(connection, 'request');
     }
