Report a call that a quarantine cancelled as such, also after a second verdict

Found by a reviewer, by reading: a second verdict before the cancelled call had ended could take the mark back, so that a sound engine was reported as failed and the request sent again. The mark is set once. 147 passed in src/blame, src/coordination and src/gateway.

--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -241,8 +241,8 @@
     const unregister = scope.onFinish(() => call.cancel());
     let isQuarantined = false;
     const subscription = deps.blameTable.onVerdict(() => {
-      isQuarantined = !this.inputsReleased && this.quarantineRefusal !== undefined;
-      if (isQuarantined) {
+      if (!isQuarantined && !this.inputsReleased && this.quarantineRefusal !== undefined) {
+        isQuarantined = true;
         call.cancel();
       }
     });
