Refuse a quarantined prompt part beside a trial, and survive unreadable news

Found by a reviewer of the quarantine. A request with a quarantined part was admitted if it also had one of two rival parts, whose trials are admitted, and could crash another engine: only the verdict that lasted longest was asked. And news of another VM with fields missing threw in the listener of the feed, which ends the process.

Every verdict in force is asked now, and NewsReader leaves out what it cannot read. BlameTable.test.ts, both cases: failed before. 147 passed in src/blame, src/coordination and src/gateway.

--- a/src/blame/BlameTable.test.ts
+++ b/src/blame/BlameTable.test.ts
@@ -65,6 +65,35 @@
     expect(metrics.counters.get('traits_quarantined{}')).toBe(1);
   });
 
+  it('refuses a quarantined part also beside one of two rivals, which alone is a trial', async () => {
+    for (const request of ['a:c', 'b:c', 'd:x,y', 'e:x,y', 'f:x,y']) {
+      crash([request]);
+      await clock.advance(2000);
+    }
+    expect(['g:c', 'g:x', 'g:x,c'].map(isRefused)).toEqual([true, false, true]);
+  });
+
+  it('leaves out what it cannot read of the news of another VM', () => {
+    const crashOf = (id: string, change: object): object => ({
+      id,
+      endpointId: 'e',
+      age: 100,
+      suspects: [{ request: 'r', parts: ['p'], placedAge: 200 }],
+      ...change,
+    });
+    const crashes = [
+      null,
+      crashOf('one', { suspects: undefined }),
+      crashOf('two', { age: -1e9, suspects: [{ request: 'r' }, 7] }),
+      crashOf('three', { endpointId: 4 }),
+    ];
+    [{}, { crashes, proofs: [{}, { trait: 't' }] }, undefined].forEach((news) =>
+      table.merge(news as never),
+    );
+    expect(table.size.crashes).toBe(2);
+    expect(isRefused('r:p')).toBe(false);
+  });
+
   it('waits for a third crash while two parts explain both, and then refuses them together', async () => {
     crash(['a:deadly,beside']);
     await clock.advance(2000);
--- a/src/blame/BlameTable.ts
+++ b/src/blame/BlameTable.ts
@@ -4,6 +4,7 @@
 import type * as commonServices from '../common/services/Services.js';
 import * as crashStore from './CrashStore.js';
 import type * as types from './Types.js';
+import * as newsReader from './NewsReader.js';
 import * as verdictRules from './VerdictRules.js';
 
 /** Maximum number of traits whose latest success is remembered before a crash; the least recently proven yield. */
@@ -59,31 +60,22 @@
    * const verdict = table.verdictOf(traits);
    */
   verdictOf({ request, parts }: types.IRequestTraits): types.IVerdict | undefined {
-    const { verdicts } = this.judgement;
-    const oldest = this.deps.clock.monotonic() - crashStore.RETENTION_MS;
-    return [request, ...parts]
-      .map((trait) => verdicts.get(trait))
-      .filter((verdict) => verdict !== undefined && verdict.lastCrashAt >= oldest)
-      .reduce<types.IVerdict | undefined>(
-        (latest, verdict) => ((latest?.until ?? 0) > (verdict?.until ?? 0) ? latest : verdict),
-        undefined,
-      );
+    return this.verdictsOf([request, ...parts]).sort((a, b) => b.until - a.until)[0];
   }
 
   /**
    * Returns the refusal of a request while one of its traits is quarantined. A request that has one of several rival
-   * traits is not refused here: single ones are admitted as trials, which show the trait to blame.
+   * traits is not refused for it: single ones are admitted as trials, which show the trait to blame.
    */
-  refusalOf(traits: types.IRequestTraits): types.IQuarantineRefusal | undefined {
-    const verdict = this.verdictOf(traits);
-    const left = (verdict?.until ?? 0) - this.deps.clock.monotonic();
-    const isTrial =
-      verdict !== undefined &&
-      verdict.rivals.length > 0 &&
-      !verdict.rivals.some((rival) => rival === traits.request || traits.parts.includes(rival));
-    return verdict === undefined || left <= 0 || isTrial
-      ? undefined
-      : { trait: verdict.trait, retryAfter: left };
+  refusalOf({ request, parts }: types.IRequestTraits): types.IQuarantineRefusal | undefined {
+    const now = this.deps.clock.monotonic();
+    const traits = [request, ...parts];
+    const isTrial = ({ rivals }: types.IVerdict): boolean =>
+      rivals.length > 0 && !rivals.some((rival) => traits.includes(rival));
+    const latest = this.verdictsOf(traits)
+      .filter((verdict) => verdict.until > now && !isTrial(verdict))
+      .sort((a, b) => b.until - a.until)[0];
+    return latest && { trait: latest.trait, retryAfter: latest.until - now };
   }
 
   /** Records a crash that this VM has observed, without the suspects that have succeeded lately. */
@@ -116,7 +108,8 @@
   }
 
   /** Adopts the news of another VM. */
-  merge({ crashes, proofs }: types.IBlameNews): void {
+  merge(news: types.IBlameNews): void {
+    const { crashes, proofs } = newsReader.readNews(news);
     this.dropExpired();
     const now = this.deps.clock.monotonic();
     const newCrashes = crashes.filter((crash) => this.store.add(crashStore.timed(crash, now)));
@@ -141,6 +134,14 @@
     return this.newsOf(ids, [...this.proofs.keys()]);
   }
 
+  private verdictsOf(traits: readonly string[]): types.IVerdict[] {
+    const oldest = this.deps.clock.monotonic() - crashStore.RETENTION_MS;
+    return traits
+      .map((trait) => this.judgement.verdicts.get(trait))
+      .filter((verdict) => verdict !== undefined && verdict.lastCrashAt >= oldest)
+      .map((verdict) => verdict as types.IVerdict);
+  }
+
   /** Number of crashes and of traits that the table holds, to check its bounds. */
   get size(): { readonly crashes: number; readonly proofs: number } {
     return { crashes: this.store.size, proofs: this.proofs.size + this.recentProofs.size };
