--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -352,7 +352,7 @@
     process.removeAllListeners('unhandledRejection');
     process.on('unhandledRejection', record);
     reply = () => {
-      throw new TypeError('Invalid character in header content ["Tenant"]');
+      throw new TypeError('Invalid character in header content ["Workspace"]');
     };
     const responder = await request('/read/x');
     await new Promise((resolve) => {
