Log why a control VM refuses the requests of a peer

The records of CONFIG and RECOVER show a control VM that stays a learner at one log index, but no line says whether it refuses its leader or gets nothing. peer-request-refused names the incarnations, sent and recorded, and the index of the member list by which the replica decides; once for each pair.

--- a/src/control/replication/RequestHandler.ts
+++ b/src/control/replication/RequestHandler.ts
@@ -23,6 +23,8 @@
 export class RequestHandler {
   private partialSnapshot: IPartialSnapshot | undefined;
 
+  private loggedRefusal = '';
+
   /** Handles requests on behalf of the replica that `state` belongs to. */
   constructor(
     private readonly state: replicaState.ReplicaState,
@@ -34,6 +36,7 @@
   async handle(req: types.IPeerRequest): Promise<types.IPeerResponse> {
     if (!this.matchesIncarnations(req)) {
       this.recordOtherIncarnation(req);
+      this.logRefusal(req);
       return this.respond(undefined);
     }
     const { body } = req;
@@ -78,6 +81,29 @@
     }
   }
 
+  /** Logs the refusal of a peer's requests once for each pair of incarnations. */
+  private logRefusal(req: types.IPeerRequest): void {
+    const { self, members, commitIndex, logService } = this.state;
+    const { from, fromIncarnation, to, toIncarnation } = req;
+    const key = [from, fromIncarnation, toIncarnation].join();
+    if (key === this.loggedRefusal) {
+      return;
+    }
+    this.loggedRefusal = key;
+    const recorded = members.find(from)?.incarnation;
+    const reason = to === self.id && toIncarnation === self.incarnation ? 'sender' : 'receiver';
+    logService.warn('peer-request-refused', {
+      peer: from,
+      kind: req.body.kind,
+      reason,
+      sent: fromIncarnation,
+      recorded,
+      addressed: toIncarnation,
+      membersIndex: members.index,
+      commit: commitIndex,
+    });
+  }
+
   private respond(body: types.PeerResponseBody | undefined): types.IPeerResponse {
     return { incarnation: this.state.self.incarnation, term: this.state.term, body };
   }
