Attribute crashes of plain endpoints to the requests that they had

Callers saw all endpoints of a service down together, again and again, and 502 and 503 for sound requests, since one request of one caller crashed each endpoint that ran it, and our retry took it to the next one at once.

Cause: src/blame followed the plans of the coordinator, and a plain request has none, so nothing counted crashes under it. A trial with the content of requests in the log showed what names it: workspace, method, path and query, and body. Ruled out: that knowledge is lost between 16 s and 62 s (the breach at 16 s), and that our retries alone exceed the bound (an unsafe request, never repeated by us, crashed 14 endpoints).

Now each entry VM attributes crashes to its own plain requests, by content, and tells the others; records of several VMs about one crash are joined by endpoint and time, where they counted as several crashes before (open until now for two coordinators as well). What is quarantined is refused at once with the time left; after a minute the coordinator admits one request for all VMs. A request sent at the very time of a crash counts as sent after it. The host is part of the content.

--- a/src/blame/BlameTable.test.ts
+++ b/src/blame/BlameTable.test.ts
@@ -50,6 +50,39 @@
     return log.events.filter(({ event }) => event === name);
   }
 
+  it('joins the records that several VMs make of one crash, in any order', async () => {
+    const record = (vm: string, endpointId: string, age: number, request: string) => ({
+      id: `${endpointId}@${vm}`,
+      endpointId,
+      age,
+      suspects: [{ request, parts: [], placedAge: age + 100 }],
+    });
+    // The victim is at both crashes, with another VM than the cause.
+    const records = [
+      record('vm-1', 'e1', 9000, 'cause'),
+      record('vm-2', 'e1', 8950, 'victim'),
+      record('vm-3', 'e2', 5000, 'cause'),
+      record('vm-2', 'e2', 5040, 'victim'),
+      record('vm-1', 'e3', 1000, 'cause'),
+    ];
+    [records, [...records].reverse()].forEach((ordered) => {
+      table = new blameTable.BlameTable({ clock, logService: log, metrics });
+      ordered.forEach((crashRecord) => table.merge({ crashes: [crashRecord], proofs: [] }));
+      expect([isRefused('cause'), isRefused('victim')]).toEqual([true, false]);
+    });
+  });
+
+  it('counts two crashes of an endpoint that starts again under the same id', async () => {
+    const record = (age: number) => ({
+      id: `e1@${age}`,
+      endpointId: 'e1',
+      age,
+      suspects: [{ request: 'cause', parts: [], placedAge: age + 100 }],
+    });
+    table.merge({ crashes: [record(9000), record(5000)], proofs: [] });
+    expect(isRefused('cause')).toBe(true);
+  });
+
   it('refuses a part after two crashes that nothing else explains', async () => {
     table.recordProof(traitsOf('sound:first'));
     crash(['a:first,deadly', 'i:first']);
@@ -76,7 +109,7 @@
   it('leaves out what it cannot read of the news of another VM', () => {
     const crashOf = (id: string, change: object): object => ({
       id,
-      endpointId: 'e',
+      endpointId: `endpoint-${id}`,
       age: 100,
       suspects: [{ request: 'r', parts: ['p'], placedAge: 200 }],
       ...change,
--- a/src/blame/BlameTable.ts
+++ b/src/blame/BlameTable.ts
@@ -87,9 +87,10 @@
       .filter(({ request }) => mayBeToBlame(request))
       .map((suspect) => ({ ...suspect, parts: suspect.parts.filter(mayBeToBlame) }));
     const joins = this.store.findStartOf(crash.at);
-    if (this.store.add({ ...crash, joins, suspects })) {
+    const id = this.store.add({ ...crash, joins, suspects });
+    if (id !== undefined) {
       this.rejudge();
-      this.fire([crash.id], [], true);
+      this.fire([id], [], true);
       this.dropExpired();
     }
   }
@@ -112,14 +113,16 @@
     const { crashes, proofs } = newsReader.readNews(news);
     this.dropExpired();
     const now = this.deps.clock.monotonic();
-    const newCrashes = crashes.filter((crash) => this.store.add(crashStore.timed(crash, now)));
+    const newCrashes = crashes
+      .map((crash) => this.store.add(crashStore.timed(crash, now)))
+      .filter((id) => id !== undefined);
     const newProofs = proofs.filter(({ trait, age }) => this.addProof(trait, now - age));
     if (newCrashes.length === 0 && newProofs.length === 0) {
       return;
     }
     this.rejudge();
     this.fire(
-      newCrashes.map(({ id }) => id),
+      newCrashes,
       newProofs.map(({ trait }) => trait),
       false,
     );
--- a/src/blame/CrashAttribution.test.ts
+++ b/src/blame/CrashAttribution.test.ts
@@ -63,8 +63,8 @@
     attribution.recordEnded('running', 'broken');
     await clock.advance(DECIDED_MS);
     expect(suspects()).toEqual(['guilty', 'waiting']);
-    expect(metrics.counters.get('engine_crashes{}')).toBe(1);
-    expect(log.events.find(({ event }) => event === 'engine-crashed')).toMatchObject({
+    expect(metrics.counters.get('endpoint_crashes{}')).toBe(1);
+    expect(log.events.find(({ event }) => event === 'endpoint-crashed')).toMatchObject({
       fields: { endpoint: 'e1', suspects: 'guilty,waiting' },
     });
   });
@@ -85,8 +85,8 @@
     attribution.recordEnded('a', 'broken');
     await clock.advance(DECIDED_MS);
     expect(suspects()).toEqual([]);
-    expect(metrics.counters.get('engine_crashes{}')).toBeUndefined();
-    expect(log.events.map(({ event }) => event)).toEqual(['engine-crash-not-confirmed']);
+    expect(metrics.counters.get('endpoint_crashes{}')).toBeUndefined();
+    expect(log.events.map(({ event }) => event)).toEqual(['endpoint-crash-not-confirmed']);
   });
 
   it('counts reports of other VMs that arrive later, and checks the engine once', async () => {
--- a/src/blame/CrashAttribution.ts
+++ b/src/blame/CrashAttribution.ts
@@ -186,7 +186,7 @@
 
   private recordCrash({ id, endpoint, at, suspects }: IIncident): void {
     const { metrics, table } = this.deps;
-    metrics.count('engine_crashes');
+    metrics.count('endpoint_crashes');
     table.recordCrash({
       id,
       endpointId: endpoint.id,
@@ -210,9 +210,9 @@
       suspects: [...suspects.keys()].join(','),
     };
     if (hasCrashed) {
-      logService.warn('engine-crashed', { ...fields, crash: id });
+      logService.warn('endpoint-crashed', { ...fields, crash: id });
     } else {
-      logService.info('engine-crash-not-confirmed', fields);
+      logService.info('endpoint-crash-not-confirmed', fields);
     }
   }
 }
--- a/src/blame/CrashStore.ts
+++ b/src/blame/CrashStore.ts
@@ -6,6 +6,8 @@
 export const RETENTION_MS = 900_000;
 /** Maximum number of crashes. */
 const MAX_CRASHES = 64;
+/** Records of crashes of one endpoint within this time are of one crash; a restart takes longer. */
+const SAME_CRASH_WINDOW_MS = 1000;
 /** Maximum number of suspects of one crash, the first sent ones. */
 const MAX_SUSPECTS = 128;
 
@@ -33,6 +35,9 @@
 
   private readonly idsByTrait = new Map<string, Set<string>>();
 
+  /** Ids under which crashes are kept, by the ids of their other records. */
+  private readonly keptIds = new Map<string, string>();
+
   /** Creates an empty store. */
   constructor(private readonly clock: commonTypes.IClock) {}
 
@@ -61,9 +66,13 @@
     )?.id;
   }
 
-  /** Adds a crash, or suspects of a known one; returns whether it says something new. */
-  add(crash: verdictRules.ITimedCrash): boolean {
-    const known = this.byId.get(crash.id);
+  /**
+   * Adds a crash, or suspects of a known one. Each VM that had requests at the endpoint makes a record of its own; they
+   * are kept as one crash. Returns the id under which it is kept, or undefined if the record says nothing new.
+   */
+  add(crash: verdictRules.ITimedCrash): string | undefined {
+    const known = this.byId.get(crash.id) ?? this.findSameCrash(crash);
+    const id = known?.id ?? crash.id;
     const added = crash.suspects.filter(
       ({ request }) => !known?.suspects.some((suspect) => suspect.request === request),
     );
@@ -72,18 +81,34 @@
       .slice(0, MAX_SUSPECTS);
     // A crash without suspects shows that others at the same time have no cause of their own.
     if (known !== undefined && (added.length === 0 || suspects.length === known.suspects.length)) {
-      return false;
+      return undefined;
     }
-    this.remove(crash.id);
+    this.remove(id);
     // Transit makes a crash seem later, never earlier.
     const at = Math.min(crash.at, known?.at ?? crash.at);
-    this.byId.set(crash.id, { ...crash, at, suspects });
+    const joins = this.keptId(known?.joins) ?? this.keptId(crash.joins);
+    this.byId.set(id, { ...crash, id, at, joins: joins === id ? undefined : joins, suspects });
+    if (crash.id !== id) {
+      this.keptIds.set(crash.id, id);
+    }
     traitsOf(suspects).forEach((trait) => {
       const ids = this.idsByTrait.get(trait) ?? new Set<string>();
-      ids.add(crash.id);
+      ids.add(id);
       this.idsByTrait.set(trait, ids);
     });
-    return true;
+    return id;
+  }
+
+  private findSameCrash(crash: verdictRules.ITimedCrash): verdictRules.ITimedCrash | undefined {
+    return [...this.byId.values()].find(
+      ({ endpointId, at }) =>
+        endpointId === crash.endpointId && Math.abs(at - crash.at) <= SAME_CRASH_WINDOW_MS,
+    );
+  }
+
+  /** Id under which the crash of a record is kept. */
+  private keptId(recordId: string | undefined): string | undefined {
+    return recordId === undefined ? undefined : (this.keptIds.get(recordId) ?? recordId);
   }
 
   /**
@@ -102,6 +127,9 @@
       ...crashes.filter(({ id }) => needed.has(id)),
     ].slice(0, Math.max(0, this.byId.size - MAX_CRASHES));
     surplus.forEach(({ id }) => this.remove(id));
+    [...this.keptIds]
+      .filter(([, id]) => !this.byId.has(id))
+      .forEach(([recordId]) => this.keptIds.delete(recordId));
     return expired.length + surplus.length > 0;
   }
 
--- a/src/blame/Traits.test.ts
+++ b/src/blame/Traits.test.ts
@@ -5,6 +5,7 @@
 const SOURCE: traits.IFingerprintSource = {
   workspace: 'w',
   method: 'POST',
+  host: 'a.example',
   target: '/a?b',
   body: Buffer.from('body'),
   pieceKey: 'k',
--- a/src/blame/Traits.ts
+++ b/src/blame/Traits.ts
@@ -12,6 +12,7 @@
 export interface IFingerprintSource {
   readonly workspace: string | undefined;
   readonly method: string;
+  readonly host: string;
   /** Path and query. */
   readonly target: string;
   readonly body: Buffer;
@@ -26,9 +27,9 @@
  * const fingerprint = fingerprintOf({ ...request, workspace: workspace?.name });
  */
 export function fingerprintOf(source: IFingerprintSource): string {
-  const { workspace, method, target, body, pieceKey, prompt } = source;
+  const { workspace, method, host, target, body, pieceKey, prompt } = source;
   const parts = prompt?.parts.map(({ id }) => id) ?? [];
-  const fields = JSON.stringify([workspace ?? null, method, target, pieceKey, parts]);
+  const fields = JSON.stringify([workspace ?? null, method, host, target, pieceKey, parts]);
   return crypto
     .createHash('sha256')
     .update(fields)
--- a/src/blame/Types.ts
+++ b/src/blame/Types.ts
@@ -71,12 +71,24 @@
   hasCrashed(endpoint: routing.IEndpoint): Promise<boolean>;
 }
 
+/** Answer of the coordinator to a request for a trial; `refusal` is undefined if the request is admitted. */
+export interface ITrialAnswer {
+  readonly trialId: number;
+  readonly refusal?: IQuarantineRefusal | undefined;
+}
+
 /** Connection of an entry VM to the coordinator, as far as crashes are concerned. */
 export interface IBlameLink {
+  /** Whether a coordinator is connected. */
+  readonly isConnected: boolean;
+  /** Fires for each answer to a request for a trial. */
+  readonly onTrial: commonTypes.IEvent<ITrialAnswer>;
   /** Fires when a coordinator is found, before any other message to it. */
   readonly onCoordinatorFound: commonTypes.IEvent<void>;
   /** Fires for the news that a control VM sends. */
   readonly onBlame: commonTypes.IEvent<IBlameNews>;
   /** Sends news; has no effect while no coordinator is connected. */
   sendBlame(news: IBlameNews): void;
+  /** Requests a trial of a request; has no effect while no coordinator is connected. */
+  requestTrial(trialId: number, traits: IRequestTraits): void;
 }
--- a/src/blame/VerdictRules.ts
+++ b/src/blame/VerdictRules.ts
@@ -151,7 +151,7 @@
     }
     const ids = [...joined.ids, id];
     groups[index] = { ...joined, ids, suspects: commonTraits(joined.suspects, suspects) };
-    const later = suspects.filter(({ placedAt }) => placedAt > joined.at);
+    const later = suspects.filter(({ placedAt }) => placedAt >= joined.at);
     if (later.length > 0) {
       groups.push({ ids: [id], at, suspects: groupByTrait(later) });
     }
@@ -180,7 +180,7 @@
   return (
     previousAt === undefined ||
     at - previousAt > REPETITION_WINDOW_MS ||
-    suspects.some(({ placedAt }) => placedAt > previousAt)
+    suspects.some(({ placedAt }) => placedAt >= previousAt)
   );
 }
 
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -85,9 +85,14 @@
 
   private readonly blameEmitter = new emitter.Emitter<blame.IBlameNews>();
 
+  private readonly trialEmitter = new emitter.Emitter<blame.ITrialAnswer>();
+
   /** @inheritdoc */
   readonly onBlame = this.blameEmitter.event;
 
+  /** @inheritdoc */
+  readonly onTrial = this.trialEmitter.event;
+
   /** @inheritdoc */
   readonly onCoordinatorFound = this.coordinatorFoundEmitter.event;
 
@@ -191,6 +196,11 @@
     }
   }
 
+  /** @inheritdoc */
+  requestTrial(trialId: number, traits: blame.IRequestTraits): void {
+    this.send({ kind: 'trial', trialId, traits });
+  }
+
   /** @inheritdoc */
   cancel(planId: string): void {
     this.pending.delete(planId);
@@ -368,6 +378,9 @@
       case 'blame':
         this.blameEmitter.fire(message.news);
         break;
+      case 'trial':
+        this.trialEmitter.fire(message.answer);
+        break;
       case 'permit':
         this.permitEmitter.fire(message.answer);
         break;
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -97,7 +97,7 @@
       deps.rateLimiter,
       (message) => this.broadcast(message),
     );
-    this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, (message) =>
+    this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, deps.clock, (message) =>
       this.broadcast(message),
     );
     this.subscriptions.push(
@@ -258,6 +258,9 @@
       case 'blame':
         this.blameExchange.handleNews(message.news);
         break;
+      case 'trial':
+        this.blameExchange.handleTrial(session.vm, message, this.isCoordinating, send);
+        break;
       case 'permit':
         this.rateLimitExchange.handlePermit(
           message.permitId,
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -128,6 +128,8 @@
   | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
   /** What the entry VM knows of crashes of endpoints, where the coordinator may not know it. */
   | { readonly kind: 'blame'; readonly news: blame.IBlameNews }
+  /** Request for the permission to send one request with a trait whose quarantine has ended. */
+  | { readonly kind: 'trial'; readonly trialId: number; readonly traits: blame.IRequestTraits }
   /** Request for the permission to send one request to an endpoint that names a rate limit. */
   | { readonly kind: 'permit'; readonly permitId: number; readonly endpointId: string }
   | { readonly kind: 'alive' };
@@ -158,5 +160,6 @@
   | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
   /** What any VM knows of crashes of endpoints. */
   | { readonly kind: 'blame'; readonly news: blame.IBlameNews }
+  | { readonly kind: 'trial'; readonly answer: blame.ITrialAnswer }
   | { readonly kind: 'permit'; readonly answer: rateLimits.IPermitAnswer }
   | { readonly kind: 'planned'; readonly planId: string; readonly outcome: PlanOutcome };
--- a/src/coordination/testing/BlameCoordinator.ts
+++ b/src/coordination/testing/BlameCoordinator.ts
@@ -27,7 +27,7 @@
   ) {
     const blameTable = blameFixture.makeTable(clock);
     const directory = new endpointDirectory.EndpointDirectory();
-    this.exchange = new blameExchange.BlameExchange(blameTable, (message) =>
+    this.exchange = new blameExchange.BlameExchange(blameTable, clock, (message) =>
       this.vms.forEach((vm) => vm.receive(message)),
     );
     this.planner = new coordinators.Coordinator({
--- a/src/coordination/testing/BlameVm.ts
+++ b/src/coordination/testing/BlameVm.ts
@@ -44,6 +44,10 @@
 
   readonly onBlame = this.blameEmitter.event;
 
+  private readonly trialEmitter = new emitter.Emitter<blame.ITrialAnswer>();
+
+  readonly onTrial = this.trialEmitter.event;
+
   private readonly sync: blameSync.BlameSync;
 
   private planNumber = 0;
@@ -82,6 +86,8 @@
     this.later(() => {
       if (message.kind === 'blame' && coordinator === this.coordinator) {
         this.blameEmitter.fire(message.news);
+      } else if (message.kind === 'trial') {
+        this.trialEmitter.fire(message.answer);
       }
     });
   }
@@ -92,6 +98,20 @@
     this.later(() => coordinator?.exchange.handleNews(news));
   }
 
+  /** @inheritdoc */
+  get isConnected(): boolean {
+    return this.coordinator !== undefined;
+  }
+
+  /** @inheritdoc */
+  requestTrial(trialId: number, traits: blame.IRequestTraits): void {
+    const { coordinator } = this;
+    const message = { kind: 'trial', trialId, traits } as const;
+    this.later(() =>
+      coordinator?.exchange.handleTrial(this.name, message, true, (answer) => this.receive(answer)),
+    );
+  }
+
   /** Serves a request; a request whose engine broke off is sent again if `isRepeatable`. */
   async serve(request: IModelRequest, isRepeatable: boolean): Promise<ModelOutcome> {
     const traits = blameTraits.traitsOf('s', request.fingerprint, request.prompt);
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -2,6 +2,8 @@
 import * as vitest from 'vitest';
 import type * as blameTable from '../blame/BlameTable.js';
 import * as blame from '../blame/testing/Blame.js';
+import * as fakeBlameLink from '../blame/testing/FakeBlameLink.js';
+import * as fakeCrashConfirmer from '../blame/testing/FakeCrashConfirmer.js';
 import * as seededRandom from '../common/SeededRandom.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
@@ -11,6 +13,7 @@
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import * as gateways from './Gateway.js';
+import * as plainQuarantine from './PlainQuarantine.js';
 import * as retryBudget from './RetryBudget.js';
 import * as serviceBalancer from './ServiceBalancer.js';
 import * as types from './Types.js';
@@ -50,7 +53,7 @@
 /** Decides how the fake endpoint responds to a call; `silent` leaves the call open. */
 type ReplyFn = (
   call: types.IEndpointCall,
-) => types.IEndpointAnswer | types.EndpointCallError | 'silent';
+) => types.IEndpointAnswer | types.EndpointCallError | Promise<types.EndpointCallError> | 'silent';
 
 function answerOf(
   status: number,
@@ -146,6 +149,8 @@
   let cancelCount: number;
   let permits: FakePermits;
   let crashes: blameTable.BlameTable;
+  let confirmer: fakeCrashConfirmer.FakeCrashConfirmer;
+  let blameLink: fakeBlameLink.FakeBlameLink;
   let cancelledPlans: string[];
   let startedPlans: string[];
   let failedEngines: (string | undefined)[];
@@ -180,6 +185,8 @@
           rejectAnswer = reject;
           if (result instanceof types.EndpointCallError) {
             reject(result);
+          } else if (result instanceof Promise) {
+            void result.then(reject);
           } else if (result !== 'silent') {
             resolve(result);
           }
@@ -211,6 +218,8 @@
     failedEngines = [];
     metrics = new recordingMetrics.RecordingMetricsService();
     log = new recordingLog.RecordingLogService();
+    confirmer = new fakeCrashConfirmer.FakeCrashConfirmer();
+    blameLink = new fakeBlameLink.FakeBlameLink();
     gateway = new gateways.Gateway({
       clock,
       random,
@@ -218,6 +227,14 @@
       planner,
       permits,
       blameTable: crashes,
+      quarantine: new plainQuarantine.PlainQuarantine({
+        clock,
+        blameTable: crashes,
+        crashConfirmer: confirmer,
+        blameLink,
+        logService: log,
+        metrics,
+      }),
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       budget: new retryBudget.RetryBudget(limits, clock, () => 1),
       logService: log,
@@ -277,6 +294,68 @@
     return responder;
   }
 
+  /** Makes each endpoint crash some time after it got a request. */
+  function crashAll(): void {
+    reply = async ({ endpoint: { id } }) => {
+      await clock.sleep(50);
+      confirmer.crashed.add(id);
+      return new types.EndpointCallError('reset', true);
+    };
+  }
+
+  test.each([
+    ['safe', '/read/deadly', 1],
+    ['unsafe', '/write/deadly', 2],
+  ])('refuses a %s request after two endpoints crashed under it', async (_, target, sendings) => {
+    crashAll();
+    for (let count = 0; count < sendings; count++) {
+      expect((await request(target)).outcome).toBe('endpoint-failed');
+    }
+    expect(calls).toHaveLength(2);
+    const refused = await request(target);
+    expect(refused.outcome).toBe('quarantined');
+    expect(refused.retryAfter).toBeGreaterThan(0);
+    reply = () => answerOf(200, 'ok');
+    expect((await request(target, 2000, { body: Buffer.from('other') })).outcome).toBe('200');
+    expect(calls).toHaveLength(3);
+  });
+
+  test('blames no request for broken answers of endpoints that are up', async () => {
+    reply = () => new types.EndpointCallError('reset', true);
+    await request('/read/x');
+    await request('/read/x');
+    expect((await request('/read/x')).outcome).toBe('endpoint-failed');
+  });
+
+  test('does not blame a request that succeeds while other requests crash endpoints', async () => {
+    reply = () => answerOf(200, 'ok');
+    await request('/read/sound');
+    crashAll();
+    await Promise.all(['/read/sound', '/read/deadly'].map((target) => request(target)));
+    reply = () => answerOf(200, 'ok');
+    expect((await request('/read/sound')).outcome).toBe('200');
+    expect((await request('/read/deadly')).outcome).toBe('quarantined');
+  });
+
+  test('asks the coordinator for a trial after the quarantine, and refuses without an answer', async () => {
+    crashAll();
+    await request('/read/deadly');
+    reply = () => answerOf(200, 'ok');
+    await clock.advance(61_000);
+    blameLink.decideTrial = () => 'silent';
+    expect((await request('/read/deadly')).outcome).toBe('quarantined');
+    blameLink.decideTrial = () => ({ trait: 't', retryAfter: 700 });
+    expect((await request('/read/deadly')).retryAfter).toBe(700);
+    blameLink.isConnected = false;
+    expect((await request('/read/deadly')).outcome).toBe('quarantined');
+    blameLink.isConnected = true;
+    blameLink.decideTrial = () => undefined;
+    expect((await request('/read/deadly')).outcome).toBe('200');
+    expect(blameLink.requestedTrials).toHaveLength(3);
+    expect((await request('/read/deadly')).outcome).toBe('200');
+    expect(blameLink.requestedTrials).toHaveLength(3);
+  });
+
   test('sends an unsafe request once if the response is lost, and reports an endpoint failure', async () => {
     reply = () => new types.EndpointCallError('reset', true);
     const responder = await request('/write/x');
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -5,6 +5,7 @@
 import type * as rateLimits from '../ratelimit/Types.js';
 import * as routeIndex from '../routing/RouteIndex.js';
 import type * as routing from '../routing/Types.js';
+import type * as plainQuarantine from './PlainQuarantine.js';
 import * as plainRequestHandler from './PlainRequestHandler.js';
 import * as requestScope from './RequestScope.js';
 import type * as retryBudget from './RetryBudget.js';
@@ -29,6 +30,7 @@
   readonly budget: retryBudget.RetryBudget;
   readonly permits: rateLimits.IPermitService;
   readonly blameTable: blameTable.BlameTable;
+  readonly quarantine: plainQuarantine.PlainQuarantine;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
   /** Returns the number of entry VMs in use, which divide the connections to each endpoint among them. */
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -1,8 +1,11 @@
+import type * as crashAttribution from '../blame/CrashAttribution.js';
+import type * as blame from '../blame/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as answerBody from './AnswerBody.js';
+import * as plainQuarantine from './PlainQuarantine.js';
 import type * as requestScope from './RequestScope.js';
 import type * as serviceBalancer from './ServiceBalancer.js';
 import * as types from './Types.js';
@@ -23,6 +26,7 @@
 export interface IPlainRequestDependencies extends types.IRequestHandlerDependencies {
   readonly balancer: serviceBalancer.ServiceBalancer;
   readonly permits: rateLimits.IPermitService;
+  readonly quarantine: plainQuarantine.PlainQuarantine;
 }
 
 /** A response that was received completely. */
@@ -57,16 +61,24 @@
   /** Last server error of an endpoint (status 500 or above); returned to the caller if no attempt succeeds. */
   private lastError: ICompleteAnswer | undefined;
 
+  private readonly traits: blame.IRequestTraits;
+
   /** Handles the request of `scope`. */
   constructor(
     private readonly scope: requestScope.RequestScope,
     private readonly deps: IPlainRequestDependencies,
-  ) {}
+  ) {
+    this.traits = plainQuarantine.PlainQuarantine.traitsOf(scope);
+  }
 
   /** Makes attempts until the caller has a response or the request ends. */
   async run(): Promise<void> {
     const { scope, deps } = this;
     deps.budget.recordRequest();
+    const refusal = await deps.quarantine.admit(this.traits);
+    if (refusal !== undefined && !scope.isFinished) {
+      this.rejectQuarantined(refusal);
+    }
     while (!scope.isFinished) {
       const outcome = await this.attemptWithHedge();
       if (scope.isFinished || outcome.kind === 'over') {
@@ -97,7 +109,7 @@
 
   private mayRetry(outcome: Outcome): boolean {
     const { scope, deps } = this;
-    if (scope.attemptCount >= MAX_ATTEMPTS || !this.hasUntriedEndpoint()) {
+    if (scope.attemptCount >= MAX_ATTEMPTS || !this.hasUntriedEndpoint() || this.isQuarantined) {
       return false;
     }
     const notExecuted = outcome.kind === 'not-run' || (outcome.kind === 'lost' && !outcome.sent);
@@ -107,6 +119,10 @@
     return mayExecute && (!usesBudget || deps.budget.take());
   }
 
+  private get isQuarantined(): boolean {
+    return this.deps.quarantine.refusalOf(this.traits) !== undefined;
+  }
+
   private hasUntriedEndpoint(allowsLimited = true): boolean {
     const { scope, deps, triedEndpoints: excluded } = this;
     return deps.balancer.choose(scope.service, { excluded, allowsLimited }) !== undefined;
@@ -125,6 +141,11 @@
       this.answer(this.lastError);
       return;
     }
+    const refusal = this.deps.quarantine.refusalOf(this.traits);
+    if (refusal !== undefined) {
+      this.rejectQuarantined(refusal);
+      return;
+    }
     const rejection = scope.isNotRun ? 'overloaded' : 'endpoint-failed';
     const limitDelay = this.deps.balancer.limitDelay(scope.service);
     const retryAfter = Math.max(RETRY_AFTER_MS, limitDelay);
@@ -134,6 +155,16 @@
     scope.finish();
   }
 
+  /** Rejects a request that has crashed endpoints; says `endpoint-failed` if this one may have run. */
+  private rejectQuarantined({ trait, retryAfter }: blame.IQuarantineRefusal): void {
+    const { scope } = this;
+    const rejection = scope.isNotRun ? 'quarantined' : 'endpoint-failed';
+    this.log('rejected', { rejection, trait, retryAfter: Math.round(retryAfter) });
+    this.deps.metrics.count('refused', { reason: 'quarantined' });
+    scope.responder.reject(rejection, retryAfter);
+    scope.finish();
+  }
+
   /** Makes an attempt; on safe routes starts a hedged one if it is slow and the budget allows. */
   private async attemptWithHedge(): Promise<Outcome> {
     const { scope, deps } = this;
@@ -148,7 +179,8 @@
     );
     const isSlow = await this.isSlower(first, delay);
     const mayHedge = isSlow && !scope.isFinished && this.executions < scope.route.maxExecutions;
-    if (!mayHedge || !this.hasUntriedEndpoint(false) || !deps.budget.take()) {
+    const canHedge = mayHedge && this.hasUntriedEndpoint(false) && !this.isQuarantined;
+    if (!canHedge || !deps.budget.take()) {
       return first;
     }
     this.log('hedged', { delay: Math.round(delay) });
@@ -223,17 +255,34 @@
     scope.attemptsInFlight += 1;
     this.executions += 1;
     deps.balancer.recordStart(endpoint.id);
+    const attemptId = `${scope.request.id}#${scope.attemptCount}`;
+    deps.quarantine.recordPlaced(attemptId, endpoint, this.traits);
     let cancelled = false;
     const unregister = scope.onFinish(() => {
       cancelled = true;
       call.cancel();
     });
+    let isHeldBack = false;
+    const subscription = deps.quarantine.onVerdict(() => {
+      // An unsafe request may be running, and its caller must learn the outcome.
+      if (this.isSafe && !isHeldBack && this.isQuarantined) {
+        isHeldBack = true;
+        call.cancel();
+      }
+    });
     let load: types.IEndpointLoad | undefined;
-    const recordEnd = (outcome: serviceBalancer.CallOutcome, reason?: string): void => {
+    const recordEnd = (
+      outcome: serviceBalancer.CallOutcome,
+      attemptEnd: crashAttribution.AttemptEnd,
+      reason?: string,
+    ): void => {
       unregister();
+      subscription.dispose();
       scope.attemptsInFlight -= 1;
       const took = deps.clock.monotonic() - started;
-      const end = cancelled ? 'cancelled' : outcome;
+      const isCancelled = cancelled || isHeldBack;
+      const end = isCancelled ? 'cancelled' : outcome;
+      deps.quarantine.recordEnded(attemptId, isCancelled ? 'left' : attemptEnd);
       deps.balancer.recordEnd(endpoint.id, end, took, load);
       const fields = { endpoint: endpoint.id, end, took: Math.round(took), reason };
       this.log('sending-ended', fields);
@@ -247,17 +296,20 @@
       if (answer.isNotRun) {
         this.executions -= 1;
         void this.drainRejection(answer, call, endpoint.id);
-        recordEnd(answer.namesRateLimit ? 'limited' : 'refused');
+        recordEnd(answer.namesRateLimit ? 'limited' : 'refused', 'not-run');
         return { kind: 'not-run' };
       }
       scope.mayHaveRun = true;
+      if (answer.isGenuine && answer.status < 500) {
+        deps.quarantine.recordStarted(attemptId);
+      }
       const result = await this.readAnswer(answer);
       if ('fault' in result) {
         call.cancel();
-        recordEnd('lost', result.fault);
+        recordEnd('lost', 'broken', result.fault);
         return { kind: 'lost', sent: true };
       }
-      recordEnd(answer.status >= 500 ? 'error' : 'ok');
+      recordEnd(answer.status >= 500 ? 'error' : 'ok', 'whole');
       return { kind: 'whole', complete: { answer, body: result.body } };
     } catch (err) {
       if (!(err instanceof types.EndpointCallError)) {
@@ -268,7 +320,7 @@
       } else {
         this.executions -= 1;
       }
-      recordEnd('lost', err.message);
+      recordEnd('lost', err.sent ? 'broken' : 'not-run', err.message);
       return cancelled ? { kind: 'over' } : { kind: 'lost', sent: err.sent };
     }
   }
