Give up the admission of a control VM that does not answer

A leader that admits a control VM waited up to 30 s for it to catch up, and admitted no other meanwhile. If that VM ended or lost its disk again, as one that ends with code 139 at its start may, the group stayed at two voters for that time: the next lost disk would have ended it.

--- a/src/control/replication/LostDisks.test.ts
+++ b/src/control/replication/LostDisks.test.ts
@@ -17,6 +17,8 @@
 const CATCH_UP_MS = 4000;
 const LOSS_COUNT = 12;
 const MAX_SYNC_MS = 4;
+/** Lets a promotion wait for longer than `LIMIT_MS`. */
+const SLOW_CATCH_UP = { ...simulatedGroup.TUNING, catchUpTimeoutMs: 30_000 };
 /** Lets several losses happen between two snapshots. */
 const RARE_SNAPSHOTS = { ...simulatedGroup.TUNING, snapshotMinLogBytes: 12_000 };
 
@@ -114,6 +116,22 @@
     expect(group.running.get('c3')?.log.status().hasLeader).toBe(true);
   });
 
+  it('gives up a learner that has lost its disk again, so that it can be admitted anew', async () => {
+    group = new simulatedGroup.SimulatedGroup(7, THREE, MAX_SYNC_MS, SLOW_CATCH_UP);
+    await group.startAll();
+    await elect('c1');
+    await loseDisk('c2');
+    await changeMembers({ action: 'remove', id: 'c2' });
+    await changeMembers({ action: 'add-learner', id: 'c2', address: 'c2' });
+    await loseDisk('c2');
+    await group.write('a', '1');
+    const promotion = changeMembers({ action: 'promote', id: 'c2' });
+    await expect(promotion).rejects.toThrow('does not answer');
+    await readmit('c2');
+    await loseDisk('c1');
+    await group.write('a', '2');
+  });
+
   it.each(SEEDS)('keeps its service and all acknowledged writes, seed %i', async (seed) => {
     group = new simulatedGroup.SimulatedGroup(3000 + seed, THREE, MAX_SYNC_MS, RARE_SNAPSHOTS);
     await group.startAll();
--- a/src/control/replication/MembershipChanger.ts
+++ b/src/control/replication/MembershipChanger.ts
@@ -5,6 +5,9 @@
 import * as membershipError from './MembershipError.js';
 import type * as replicaState from './ReplicaState.js';
 
+/** A learner that has not answered for this many election timeouts is down, or has another incarnation by now. */
+const LEARNER_SILENCE_TIMEOUTS = 2;
+
 type Members = readonly controlTypes.IMember[];
 
 /** Plans membership changes and appends them to the log, one change at a time. */
@@ -116,6 +119,9 @@
       if (clock.monotonic() >= deadline || activeLeadership.isEnded) {
         throw new membershipError.MembershipError(`learner ${id} has not caught up with the log`);
       }
+      if (activeLeadership.silenceOf(id) > LEARNER_SILENCE_TIMEOUTS * tuning.electionTimeoutMs) {
+        throw new membershipError.MembershipError(`learner ${id} does not answer`);
+      }
       await clock.sleep(tuning.heartbeatMs);
     }
   }
