Continue a stream only at the software version that began it

Cause: nothing on the way of a resumed stream knew versions. Class: an attempt inherits the content of a request, but not what an earlier attempt has fixed.

Now the entry VM pins the version of the engine whose event it forwarded first, and the coordinator remembers the version of each placed request for a minute, also by the ids of those that take a stream up; a new coordinator gets the streams of the entry VMs. A stream whose version has no engine left is refused at once, or ended within an answer; one whose version nobody knows is refused after 0.3 s, unless the service has had a single version for a minute.

--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -10,6 +10,7 @@
 import * as planAdmission from './PlanAdmission.js';
 import * as planQuarantine from './PlanQuarantine.js';
 import * as resultReleaser from './ResultReleaser.js';
+import * as streamVersions from './StreamVersions.js';
 import type * as types from './Types.js';
 
 /** Components that a coordinator uses. */
@@ -35,6 +36,10 @@
 const MIN_RESULT_LIFE_MS = 300;
 /** A plan for which no end was reported is removed this long after its deadline. */
 const PLAN_RETENTION_MS = 2000;
+/** Wait for entry VMs to tell a new coordinator which version began a stream. */
+const VERSION_WAIT_MS = 300;
+/** Time after which a caller may take up a stream again whose version has no engine left; a crashed one may be back. */
+const VERSION_RETRY_AFTER_MS = 1000;
 
 /**
  * Plans the requests of all entry VMs together, so that a batch can hold items from several of them.
@@ -50,6 +55,12 @@
   /** Id of the latest plan of each request, by request id. */
   private readonly latestPlanIds = new Map<string, string>();
 
+  /** Software versions that began the streams of requests. */
+  readonly streams: streamVersions.StreamVersions;
+
+  /** Ids of plans that wait until the version of their stream is known. */
+  private readonly unversionedPlans = new Set<string>();
+
   private readonly releaser: resultReleaser.ResultReleaser;
 
   private readonly placementQueue: placementQueue.PlacementQueue;
@@ -64,6 +75,7 @@
 
   /** Creates a coordinator that serves requests once `configure` has been called. */
   constructor(private readonly deps: ICoordinatorDependencies) {
+    this.streams = new streamVersions.StreamVersions(deps.clock);
     this.subscription = deps.directory.onChange(() => this.updateServices());
     this.releaser = new resultReleaser.ResultReleaser(deps, (service) =>
       this.schedulers.get(service)?.scheduleDispatch(0),
@@ -100,6 +112,67 @@
     req: types.IPlanRequest,
     onResult: types.ResultListener = () => {},
   ): Promise<types.PlanOutcome> {
+    const version = this.versionFor(req);
+    if (version === undefined && req.continuedId !== undefined) {
+      return this.planOnceVersionKnown(req, onResult);
+    }
+    return this.startPlan({ ...req, version }, onResult);
+  }
+
+  /** Version that the engine of a request must have; undefined if any may run it, or if it is not known. */
+  private versionFor({ version, continuedId, service }: types.IPlanRequest): string | undefined {
+    if (version !== undefined || continuedId === undefined) {
+      return version;
+    }
+    this.recordListedVersions();
+    return this.streams.versionOf(continuedId, service);
+  }
+
+  private recordListedVersions(): void {
+    this.deps.directory.current.endpoints.forEach(({ service, version = '' }) =>
+      this.streams.recordListed(service, version),
+    );
+  }
+
+  private async planOnceVersionKnown(
+    req: types.IPlanRequest,
+    onResult: types.ResultListener,
+  ): Promise<types.PlanOutcome> {
+    this.unversionedPlans.add(req.planId);
+    await this.deps.clock.sleep(VERSION_WAIT_MS);
+    if (!this.unversionedPlans.delete(req.planId)) {
+      return { kind: 'refused', reason: 'lost', retryAfter: planAdmission.MIN_RETRY_AFTER_MS };
+    }
+    const version = this.versionFor(req);
+    if (version === undefined) {
+      return this.refuseNew(req, 'version-unknown', VERSION_WAIT_MS);
+    }
+    return this.startPlan({ ...req, version }, onResult);
+  }
+
+  private refuseNew(
+    req: types.IPlanRequest,
+    reason: types.PlanRefusal,
+    retryAfter: commonTypes.Millis,
+  ): types.IPlanRefused {
+    const refusal = { kind: 'refused', reason, retryAfter } as const;
+    this.freeResults(req.held);
+    this.logOutcome(req, refusal, 0);
+    return refusal;
+  }
+
+  private hasVersion(service: string, version: string): boolean {
+    const endpoints = this.deps.directory.ready(service);
+    return endpoints.some((endpoint) => (endpoint.version ?? '') === version);
+  }
+
+  private startPlan(
+    req: types.IPlanRequest,
+    onResult: types.ResultListener,
+  ): Promise<types.PlanOutcome> {
+    if (req.version !== undefined && !this.hasVersion(req.service, req.version)) {
+      return Promise.resolve(this.refuseNew(req, 'version-gone', VERSION_RETRY_AFTER_MS));
+    }
     const held = [...req.held, ...this.takeOverResults(req.requestId)];
     const refusal = this.quarantine.check(req) ?? this.admission.check(req, held);
     if (refusal !== undefined) {
@@ -235,6 +308,7 @@
 
   private updateServices(): void {
     const { directory, clock, rateLimiter } = this.deps;
+    this.recordListedVersions();
     this.routingTable?.services.forEach(({ name, batch, engine }) => {
       if (batch !== undefined) {
         const scheduler =
@@ -297,19 +371,23 @@
       return;
     }
     const inputs = results.map(({ maker, bytes }) => ({ zone: maker.availabilityZone, bytes }));
-    const placement = { planId, prompt: req.prompt, inputs, avoid };
+    const { version } = req;
+    const placement = { planId, prompt: req.prompt, inputs, avoid, version };
     const placer = this.placers.get(req.service);
     const endpoint = placer?.place(placement);
     if (endpoint === undefined) {
-      const limitDelay = placer?.limitDelay(avoid) ?? Number.POSITIVE_INFINITY;
+      const limitDelay = placer?.limitDelay({ avoid, version }) ?? Number.POSITIVE_INFINITY;
       if (Number.isFinite(limitDelay)) {
         this.queuePlacement(planId, plan, limitDelay);
-      } else {
+      } else if (version === undefined) {
         this.refusePlan(planId, plan, 'no-endpoint', planAdmission.MIN_RETRY_AFTER_MS);
+      } else {
+        this.refusePlan(planId, plan, 'version-gone', VERSION_RETRY_AFTER_MS);
       }
       return;
     }
     this.quarantine.recordPlaced(req, endpoint);
+    this.streams.record(req.requestId, endpoint.version ?? '');
     this.resolvePlan(plan, {
       kind: 'ready',
       endpoint,
@@ -379,6 +457,7 @@
   }
 
   private removePlan(planId: string): void {
+    this.unversionedPlans.delete(planId);
     const plan = this.plans.get(planId);
     if (plan === undefined) {
       return;
@@ -409,6 +488,8 @@
       service: req.service,
       pieces: req.pieces.join('/'),
       priority: req.priority,
+      version: req.version,
+      continues: req.continuedId,
       key: req.pieceKey,
       goalLeft: Math.round(req.goalLeft),
       deadlineLeft: Math.round(req.deadlineLeft),
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -9,6 +9,7 @@
 import * as feedConnection from './FeedConnection.js';
 import * as heldResults from './HeldResults.js';
 import * as leaderSearch from './LeaderSearch.js';
+import type * as streamVersions from './StreamVersions.js';
 import type * as types from './Types.js';
 
 /** A connection without a message for this long is closed; about three state intervals of the server. */
@@ -196,6 +197,13 @@
     }
   }
 
+  /** Sends the streams that this VM has begun lately; has no effect while no coordinator is connected. */
+  sendStreams(streams: readonly streamVersions.IStreamRecord[]): void {
+    if (streams.length > 0) {
+      this.send({ kind: 'streams', streams });
+    }
+  }
+
   /** @inheritdoc */
   requestTrial(trialId: number, traits: blame.IRequestTraits): void {
     this.send({ kind: 'trial', trialId, traits });
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -258,6 +258,9 @@
       case 'blame':
         this.blameExchange.handleNews(message.news);
         break;
+      case 'streams':
+        planner.streams.merge(message.streams);
+        break;
       case 'trial':
         this.blameExchange.handleTrial(session.vm, message, this.isCoordinating, send);
         break;
--- a/src/coordination/PlanAdmission.ts
+++ b/src/coordination/PlanAdmission.ts
@@ -102,7 +102,7 @@
       return undefined;
     }
     const before = this.deps.unplacedPlans(req.service, req.priority);
-    const placedIn = placer.limitDelay([]) + (before / rate) * 1000;
+    const placedIn = placer.limitDelay({ avoid: [] }) + (before / rate) * 1000;
     const timeLeft = Math.max(req.goalLeft, req.deadlineLeft * LATE_ADMISSION_DEADLINE_RATIO);
     const maxWait = Math.min(MAX_ENGINE_WAIT_MS, timeLeft - stagesDoneIn);
     const excess = placedIn - stagesDoneIn - maxWait;
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -5,6 +5,7 @@
 import type * as placing from '../placing/Types.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
+import type * as streamVersions from './StreamVersions.js';
 
 /** Request for a plan: a caller's request that needs stages or a model engine. */
 export interface IPlanRequest {
@@ -27,6 +28,13 @@
   /** Time left until the deadline, after which the caller stops waiting. */
   readonly deadlineLeft: commonTypes.Millis;
   readonly prompt: placing.IPrompt;
+  /** Software version of the engine that must run the request; absent means any. */
+  readonly version?: string | undefined;
+  /**
+   * Id of the request that began the stream which this one continues, if `version` is not known; empty if the caller
+   * names none.
+   */
+  readonly continuedId?: string | undefined;
   /** Ids of engines that failed this request. */
   readonly avoid: readonly string[];
   /** Id of the plan that this one replaces, because that plan was lost or failed. */
@@ -45,6 +53,10 @@
   | 'stage-failed'
   | 'no-endpoint'
   | 'lost'
+  /** No engine of the software version that began the stream is left. */
+  | 'version-gone'
+  /** It is not known which software version began the stream. */
+  | 'version-unknown'
   /** Requests with the same content or prompt part have crashed engines. */
   | 'quarantined';
 
@@ -128,6 +140,8 @@
   | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
   /** What the entry VM knows of crashes of endpoints, where the coordinator may not know it. */
   | { readonly kind: 'blame'; readonly news: blame.IBlameNews }
+  /** Streams that the entry VM has begun lately, for a coordinator that may not know them. */
+  | { readonly kind: 'streams'; readonly streams: readonly streamVersions.IStreamRecord[] }
   /** Request for the permission to send one request with a trait whose quarantine has ended. */
   | { readonly kind: 'trial'; readonly trialId: number; readonly traits: blame.IRequestTraits }
   /** Request for the permission to send one request to an endpoint that names a rate limit. */
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -3,6 +3,7 @@
 import type * as blame from '../blame/Types.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
+import type * as streamVersions from '../coordination/StreamVersions.js';
 import type * as coordination from '../coordination/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as answerBody from './AnswerBody.js';
@@ -27,6 +28,7 @@
 export interface IEngineRequestDependencies extends types.IRequestHandlerDependencies {
   readonly planner: coordination.IPlanner;
   readonly blameTable: blameTable.BlameTable;
+  readonly streams: streamVersions.StreamVersions;
 }
 
 /** Outcome of an attempt. */
@@ -68,6 +70,12 @@
 
   private readonly traits: blame.IRequestTraits;
 
+  /** Id of the request that began the stream; empty if the caller names none, undefined if this request begins it. */
+  private readonly continuedId: string | undefined;
+
+  /** Software version that began the stream; undefined before the first event, or if this VM does not know it. */
+  private version: string | undefined;
+
   /** Handles the request of `scope`; `run` starts it. */
   constructor(
     private readonly scope: requestScope.RequestScope,
@@ -77,6 +85,7 @@
     this.relay = new eventRelay.EventRelay(scope);
     this.fingerprint = blameTraits.fingerprintOf({ ...request, workspace: workspace?.name });
     this.traits = blameTraits.traitsOf(service, this.fingerprint, request.prompt);
+    this.continuedId = request.continuedId ?? (request.lastEventId ? '' : undefined);
   }
 
   /** Plans and makes attempts until the caller has a response or the request ends. */
@@ -164,6 +173,8 @@
       goalLeft: Math.max(MIN_GOAL_LEFT_MS, route.latencyGoal - scope.age),
       deadlineLeft: scope.timeLeft,
       prompt,
+      version: this.version,
+      continuedId: this.version === undefined ? this.continuedId : undefined,
       avoid,
       replaces,
       held: [],
@@ -236,6 +247,10 @@
     scope.attemptCount += 1;
     scope.attemptsInFlight += 1;
     this.executions += 1;
+    const { version = '' } = endpoint;
+    if (!this.relay.hasForwarded) {
+      deps.streams.record(scope.request.id, version);
+    }
     const started = deps.clock.monotonic();
     const call = deps.caller.send(this.buildCall(endpoint, inputs));
     const unregister = scope.onFinish(() => call.cancel());
@@ -249,6 +264,9 @@
     try {
       const answer = await call.answer;
       const outcome = await this.relayAnswer(answer);
+      if (this.relay.hasForwarded) {
+        this.version ??= version;
+      }
       const took = Math.round(deps.clock.monotonic() - started);
       if (isQuarantined) {
         this.log('sending-ended', { endpoint: endpoint.id, end: 'quarantined', took });
--- a/src/gateway/EventRelay.ts
+++ b/src/gateway/EventRelay.ts
@@ -21,9 +21,16 @@
 export class EventRelay {
   private readonly framer = new eventFramer.EventFramer();
 
+  private hasForwardedEvents = false;
+
   /** Forwards to the caller of `scope`; one relay serves all attempts of a request. */
   constructor(private readonly scope: requestScope.RequestScope) {}
 
+  /** Whether an event was forwarded, so that the stream has begun for the caller. */
+  get hasForwarded(): boolean {
+    return this.hasForwardedEvents;
+  }
+
   /** Id of the last event that was forwarded; undefined if there is none. */
   get lastEventId(): string | undefined {
     return this.framer.lastId;
@@ -46,6 +53,7 @@
           onFirstData();
         }
         const events = this.framer.push(chunk as Buffer);
+        this.hasForwardedEvents ||= events.length > 0;
         if (events.length > 0 && !scope.responder.write(events)) {
           await this.awaitDrain();
         }
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -8,6 +8,7 @@
 import * as recordingLog from '../common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
 import * as virtualClock from '../common/testing/VirtualClock.js';
+import * as streamVersions from '../coordination/StreamVersions.js';
 import type * as coordination from '../coordination/Types.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
@@ -149,6 +150,7 @@
   let cancelCount: number;
   let permits: FakePermits;
   let crashes: blameTable.BlameTable;
+  let streams: streamVersions.StreamVersions;
   let confirmer: fakeCrashConfirmer.FakeCrashConfirmer;
   let blameLink: fakeBlameLink.FakeBlameLink;
   let cancelledPlans: string[];
@@ -220,6 +222,7 @@
     log = new recordingLog.RecordingLogService();
     confirmer = new fakeCrashConfirmer.FakeCrashConfirmer();
     blameLink = new fakeBlameLink.FakeBlameLink();
+    streams = new streamVersions.StreamVersions(clock);
     gateway = new gateways.Gateway({
       clock,
       random,
@@ -236,6 +239,7 @@
         metrics,
       }),
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
+      streams,
       budget: new retryBudget.RetryBudget(limits, clock, () => 1),
       logService: log,
       metrics,
@@ -283,6 +287,7 @@
         apiKey: undefined,
         callerTimeout: 1500,
         lastEventId: undefined,
+        continuedId: undefined,
         prompt: undefined,
         pieces: [],
         pieceKey: '',
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,6 +1,7 @@
 import type * as blameTable from '../blame/BlameTable.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
+import type * as streamVersions from '../coordination/StreamVersions.js';
 import type * as coordination from '../coordination/Types.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import * as routeIndex from '../routing/RouteIndex.js';
@@ -31,6 +32,7 @@
   readonly permits: rateLimits.IPermitService;
   readonly blameTable: blameTable.BlameTable;
   readonly quarantine: plainQuarantine.PlainQuarantine;
+  readonly streams: streamVersions.StreamVersions;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
   /** Returns the number of entry VMs in use, which divide the connections to each endpoint among them. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -31,6 +31,8 @@
   readonly callerTimeout: commonTypes.Millis | undefined;
   /** Id of the event after which the caller resumes a stream. */
   readonly lastEventId: string | undefined;
+  /** Id of the request that began the stream which this one continues; undefined if the caller names none. */
+  readonly continuedId: string | undefined;
   /** Prompt for the model engine; undefined for plain requests. */
   readonly prompt: placing.IPrompt | undefined;
   /** Number of items of each stage, in the order of the route's stages. */
@@ -48,6 +50,10 @@
   | 'overloaded'
   | 'too-late'
   | 'no-endpoint'
+  /** No endpoint of the software version that began the stream is left. */
+  | 'version-gone'
+  /** It is not known which software version began the stream. */
+  | 'version-unknown'
   | 'stage-failed'
   /** Requests with the same content or prompt part have crashed endpoints. */
   | 'quarantined'
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -42,6 +42,8 @@
   readonly inputs: readonly IInputLocation[];
   /** Ids of endpoints that failed this request; they are not chosen. */
   readonly avoid: readonly string[];
+  /** Software version that the engine must have; undefined for any. */
+  readonly version?: string | undefined;
 }
 
 /**
@@ -72,10 +74,10 @@
   /** Replaces the ready endpoints and the limits; endpoints that remain keep their state. */
   updateEndpoints(endpoints: readonly routing.IEndpoint[], limits: routing.IEngineLimits): void {
     this.limits = limits;
-    const present = new Set(endpoints.map((endpoint) => endpoint.id));
-    [...this.engines.keys()]
-      .filter((id) => !present.has(id))
-      .forEach((id) => this.engines.delete(id));
+    const versions = new Map(endpoints.map(({ id, version }) => [id, version]));
+    [...this.engines]
+      .filter(([id, { endpoint }]) => !versions.has(id) || versions.get(id) !== endpoint.version)
+      .forEach(([id]) => this.engines.delete(id));
     endpoints
       .filter((endpoint) => !this.engines.has(endpoint.id))
       .forEach((endpoint) => {
@@ -93,7 +95,7 @@
    */
   place(req: IPlacementRequest): routing.IEndpoint | undefined {
     const now = this.clock.monotonic();
-    const engines = this.enginesExcept(req.avoid).filter(
+    const engines = this.enginesFor(req).filter(
       ({ endpoint }) => this.rateLimiter.delayOf(endpoint.id) === 0,
     );
     const healthy = engines.filter(
@@ -108,10 +110,10 @@
   }
 
   /**
-   * Time until the rate limit of an engine allows a request, 0 if it does now; infinite if all engines are in `avoid`.
+   * Time until the rate limit of an engine allows a request, 0 if it does now; infinite if no engine may run it.
    */
-  limitDelay(avoid: readonly string[]): commonTypes.Millis {
-    const delays = this.enginesExcept(avoid).map(({ endpoint }) =>
+  limitDelay(req: Pick<IPlacementRequest, 'avoid' | 'version'>): commonTypes.Millis {
+    const delays = this.enginesFor(req).map(({ endpoint }) =>
       this.rateLimiter.delayOf(endpoint.id),
     );
     return Math.min(Number.POSITIVE_INFINITY, ...delays);
@@ -174,8 +176,15 @@
     return PREFILL_WINDOW_MS / 2;
   }
 
-  private enginesExcept(avoid: readonly string[]): readonly engineState.EngineState[] {
-    return [...this.engines.values()].filter(({ endpoint }) => !avoid.includes(endpoint.id));
+  private enginesFor({
+    avoid,
+    version,
+  }: Pick<IPlacementRequest, 'avoid' | 'version'>): readonly engineState.EngineState[] {
+    return [...this.engines.values()].filter(
+      ({ endpoint }) =>
+        !avoid.includes(endpoint.id) &&
+        (version === undefined || (endpoint.version ?? '') === version),
+    );
   }
 
   private assign(engine: engineState.EngineState, req: IPlacementRequest): void {
--- a/src/routing/Types.ts
+++ b/src/routing/Types.ts
@@ -117,6 +117,8 @@
   /** `ip:port`. */
   readonly address: string;
   readonly availabilityZone: string;
+  /** Version of its software; empty if the list names none. Streams of two versions do not fit together. */
+  readonly version?: string;
   /** Requests that the endpoint runs concurrently. */
   readonly slots: number;
   /** Whether the endpoint is shutting down and must not receive new requests. */
