--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -8,9 +8,10 @@
 import type * as routing from '../routing/Types.js';
 import * as placementQueue from './PlacementQueue.js';
 import * as planAdmission from './PlanAdmission.js';
+import * as planVersions from './PlanVersions.js';
 import * as planQuarantine from './PlanQuarantine.js';
 import * as resultReleaser from './ResultReleaser.js';
-import * as streamVersions from './StreamVersions.js';
+import type * as streamVersions from './StreamVersions.js';
 import type * as types from './Types.js';
 
 /** Components that a coordinator uses. */
@@ -36,8 +37,6 @@
 const MIN_RESULT_LIFE_MS = 300;
 /** A plan for which no end was reported is removed this long after its deadline. */
 const PLAN_RETENTION_MS = 2000;
-/** Wait for entry VMs to tell a new coordinator which version began a stream. */
-const VERSION_WAIT_MS = 300;
 /** Time after which a caller may take up a stream again whose version has no engine left; a crashed one may be back. */
 const VERSION_RETRY_AFTER_MS = 1000;
 
@@ -55,11 +54,7 @@
   /** Id of the latest plan of each request, by request id. */
   private readonly latestPlanIds = new Map<string, string>();
 
-  /** Software versions that began the streams of requests. */
-  readonly streams: streamVersions.StreamVersions;
-
-  /** Ids of plans that wait until the version of their stream is known. */
-  private readonly unversionedPlans = new Set<string>();
+  private readonly versions: planVersions.PlanVersions;
 
   private readonly releaser: resultReleaser.ResultReleaser;
 
@@ -75,7 +70,7 @@
 
   /** Creates a coordinator that serves requests once `configure` has been called. */
   constructor(private readonly deps: ICoordinatorDependencies) {
-    this.streams = new streamVersions.StreamVersions(deps.clock);
+    this.versions = new planVersions.PlanVersions(deps.clock, deps.directory);
     this.subscription = deps.directory.onChange(() => this.updateServices());
     this.releaser = new resultReleaser.ResultReleaser(deps, (service) =>
       this.schedulers.get(service)?.scheduleDispatch(0),
@@ -91,6 +86,11 @@
     this.quarantine = new planQuarantine.PlanQuarantine(deps, () => this.refuseQuarantined());
   }
 
+  /** Software versions that began the streams of requests. */
+  get streams(): streamVersions.StreamVersions {
+    return this.versions.streams;
+  }
+
   /** Applies a version of the configuration. */
   configure(table: routing.IRoutingTable): void {
     this.routingTable = table;
@@ -112,42 +112,22 @@
     req: types.IPlanRequest,
     onResult: types.ResultListener = () => {},
   ): Promise<types.PlanOutcome> {
-    const version = this.versionFor(req);
-    if (version === undefined && req.continuedId !== undefined) {
-      return this.planOnceVersionKnown(req, onResult);
-    }
-    return this.startPlan({ ...req, version }, onResult);
-  }
-
-  /** Version that the engine of a request must have; undefined if any may run it, or if it is not known. */
-  private versionFor({ version, continuedId, service }: types.IPlanRequest): string | undefined {
-    if (version !== undefined || continuedId === undefined) {
-      return version;
-    }
-    this.recordListedVersions();
-    return this.streams.versionOf(continuedId, service);
-  }
-
-  private recordListedVersions(): void {
-    this.deps.directory.current.endpoints.forEach(({ service, version = '' }) =>
-      this.streams.recordListed(service, version),
-    );
+    return this.versions.mustWait(req)
+      ? this.planOnceVersionKnown(req, onResult)
+      : this.startPlan({ ...req, version: this.versions.versionFor(req) }, onResult);
   }
 
   private async planOnceVersionKnown(
     req: types.IPlanRequest,
     onResult: types.ResultListener,
   ): Promise<types.PlanOutcome> {
-    this.unversionedPlans.add(req.planId);
-    await this.deps.clock.sleep(VERSION_WAIT_MS);
-    if (!this.unversionedPlans.delete(req.planId)) {
+    if (!(await this.versions.waitForNews(req.planId))) {
       return { kind: 'refused', reason: 'lost', retryAfter: planAdmission.MIN_RETRY_AFTER_MS };
     }
-    const version = this.versionFor(req);
-    if (version === undefined) {
-      return this.refuseNew(req, 'version-unknown', VERSION_WAIT_MS);
-    }
-    return this.startPlan({ ...req, version }, onResult);
+    const version = this.versions.versionFor(req);
+    return version === undefined
+      ? this.refuseNew(req, 'version-unknown', planVersions.VERSION_WAIT_MS)
+      : this.startPlan({ ...req, version }, onResult);
   }
 
   private refuseNew(
@@ -161,16 +141,11 @@
     return refusal;
   }
 
-  private hasVersion(service: string, version: string): boolean {
-    const endpoints = this.deps.directory.ready(service);
-    return endpoints.some((endpoint) => (endpoint.version ?? '') === version);
-  }
-
   private startPlan(
     req: types.IPlanRequest,
     onResult: types.ResultListener,
   ): Promise<types.PlanOutcome> {
-    if (req.version !== undefined && !this.hasVersion(req.service, req.version)) {
+    if (!this.versions.hasEndpoint(req.service, req.version)) {
       return Promise.resolve(this.refuseNew(req, 'version-gone', VERSION_RETRY_AFTER_MS));
     }
     const held = [...req.held, ...this.takeOverResults(req.requestId)];
@@ -308,7 +283,7 @@
 
   private updateServices(): void {
     const { directory, clock, rateLimiter } = this.deps;
-    this.recordListedVersions();
+    this.versions.recordListed();
     this.routingTable?.services.forEach(({ name, batch, engine }) => {
       if (batch !== undefined) {
         const scheduler =
@@ -387,7 +362,7 @@
       return;
     }
     this.quarantine.recordPlaced(req, endpoint);
-    this.streams.record(req.requestId, endpoint.version ?? '');
+    this.versions.streams.record(req.requestId, endpoint.version ?? '');
     this.resolvePlan(plan, {
       kind: 'ready',
       endpoint,
@@ -457,7 +432,7 @@
   }
 
   private removePlan(planId: string): void {
-    this.unversionedPlans.delete(planId);
+    this.versions.cancel(planId);
     const plan = this.plans.get(planId);
     if (plan === undefined) {
       return;
