--- a/src/gateway/EndpointAgents.ts
+++ b/src/gateway/EndpointAgents.ts
@@ -16,8 +16,11 @@
 
   private sweptAt: commonTypes.Millis;
 
-  /** Creates an empty pool; agents are created on demand. */
-  constructor(private readonly clock: commonTypes.IClock) {
+  /** Creates an empty pool, whose connections start at `localAddress`; agents are created on demand. */
+  constructor(
+    private readonly clock: commonTypes.IClock,
+    private readonly localAddress?: string,
+  ) {
     this.sweptAt = clock.monotonic();
   }
 
@@ -34,7 +37,7 @@
       present.agent.maxSockets = maxConnections;
       return present.agent;
     }
-    const agent = new keepAliveAgent.KeepAliveAgent(maxConnections);
+    const agent = new keepAliveAgent.KeepAliveAgent(maxConnections, this.localAddress);
     this.agents.set(address, { agent, lastUsed: now });
     return agent;
   }
--- a/src/gateway/KeepAliveAgent.ts
+++ b/src/gateway/KeepAliveAgent.ts
@@ -24,9 +24,13 @@
  * endpoint announces, and closes it at once if unsolicited data arrives on it.
  */
 export class KeepAliveAgent extends http.Agent {
-  /** Opens at most `maxConnections` concurrent connections; reuses the most recently used one first. */
-  constructor(maxConnections: number) {
+  /**
+   * Opens at most `maxConnections` concurrent connections, from `localAddress` if it is given; reuses the most recently
+   * used one first.
+   */
+  constructor(maxConnections: number, localAddress?: string) {
     super({
+      ...(localAddress === undefined ? {} : { localAddress }),
       keepAlive: true,
       keepAliveMsecs: TCP_KEEP_ALIVE_DELAY_MS,
       maxSockets: maxConnections,
