--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -72,6 +72,8 @@
   /** Checks whether engines that fail requests have crashed. */
   readonly crashConfirmer: blame.ICrashConfirmer;
   readonly source: endpointPoller.IEndpointSource;
+  /** Receives the addresses of entry VMs that connect this VM to endpoints. */
+  readonly onRelays: (relays: readonly string[]) => void;
   /** Parses the text of a routing document; throws when it is invalid. */
   readonly parse: (text: string) => routing.IRoutingTable;
 }
@@ -155,7 +157,9 @@
         rateLimiter,
         blameTable: crashes,
         clock,
+        random,
         logService,
+        onRelays: dependencies.onRelays,
       }),
     );
     const { address, seeds } = options;
--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -62,7 +62,9 @@
     blameTable: crashes.blameTable,
     rateLimiter: new sharedRateLimiter.SharedRateLimiter(table, clock, () => true),
     clock,
+    random: new seededRandom.SeededRandom(1),
     logService,
+    onRelays: () => {},
   });
   const port = await new Promise<number>((resolve, reject) => {
     server.bindAsync('127.0.0.1:0', grpc.ServerCredentials.createInsecure(), (err, bound) =>
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -37,6 +37,8 @@
   readonly metrics: commonServices.IMetricsService;
   /** Returns the endpoint list of this VM, for a coordinator that has none yet; revision 0 means no list. */
   readonly endpoints: () => routing.IEndpointList;
+  /** Address (`ip:port`) at which this VM connects other VMs to endpoints; undefined if it does not. */
+  readonly relayAddress?: string;
 }
 
 interface IPendingPlan {
@@ -76,6 +78,8 @@
 
   private readonly endpointsEmitter = new emitter.Emitter<routing.IEndpointList>();
 
+  private readonly relaysEmitter = new emitter.Emitter<readonly string[]>();
+
   private readonly coordinatorFoundEmitter = new emitter.Emitter<void>();
 
   private readonly permitEmitter = new emitter.Emitter<rateLimits.IPermitAnswer>();
@@ -109,6 +113,9 @@
   /** Fires for each endpoint list that a control VM sends. */
   readonly onEndpoints = this.endpointsEmitter.event;
 
+  /** Fires with the addresses of entry VMs that connect this one to endpoints. */
+  readonly onRelays = this.relaysEmitter.event;
+
   /** Configuration version in force on this VM; sent to each control VM when a connection opens. */
   version = 0;
 
@@ -296,13 +303,20 @@
 
   /** Runs one connection until it ends, then fails the plans that wait for an outcome. */
   private async runSession(address: string): Promise<void> {
-    const { clock, vm } = this.deps;
+    const { clock, vm, relayAddress } = this.deps;
     const connection = new feedConnection.FeedConnection(address, clock, (message) =>
       this.handleMessage(message, address),
     );
     this.connection = connection;
     this.sessionNumber += 1;
-    connection.write({ kind: 'hello', vm, version: this.version, entries: this.entryCount });
+    const relay = relayAddress === undefined ? {} : { relay: relayAddress };
+    connection.write({
+      kind: 'hello',
+      vm,
+      version: this.version,
+      entries: this.entryCount,
+      ...relay,
+    });
     let lastKeepaliveAt = clock.monotonic();
     while (connection.endReason === undefined && !this.stopController.signal.aborted) {
       await clock.sleep(RETRY_INTERVAL_MS, this.stopController.signal).catch(() => {});
@@ -377,6 +391,9 @@
       case 'endpoints':
         this.endpointsEmitter.fire(message.list);
         break;
+      case 'relays':
+        this.relaysEmitter.fire(message.relays);
+        break;
       case 'made':
         message.made.forEach(({ planId, record }) => this.held.add(planId, record));
         break;
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -14,6 +14,7 @@
 import * as blameExchange from './BlameExchange.js';
 import * as feedCodec from './FeedCodec.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
+import * as relayExchange from './RelayExchange.js';
 import type * as types from './Types.js';
 
 type Stream = grpc.ServerDuplexStream<types.UpMessage, types.DownMessage>;
@@ -41,6 +42,8 @@
   readonly stream: Stream;
   vm: string;
   version: number;
+  /** Address at which the VM connects others to endpoints; undefined if it does not. */
+  relay: string | undefined;
   lastReceivedAt: commonTypes.Millis;
   /** Plans of the VM that have not ended, by id. */
   readonly plans: Map<string, PlanProgress>;
@@ -58,7 +61,10 @@
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
   readonly blameTable: blameTable.BlameTable;
   readonly clock: commonTypes.IClock;
+  readonly random: commonTypes.IRandom;
   readonly logService: commonServices.ILogService;
+  /** Receives the addresses of entry VMs that connect this VM to endpoints. */
+  readonly onRelays: (relays: readonly string[]) => void;
 }
 
 /**
@@ -76,6 +82,8 @@
 
   private readonly blameExchange: blameExchange.BlameExchange;
 
+  private readonly relayExchange: relayExchange.RelayExchange;
+
   private isCoordinating = false;
 
   private leaderSeenAt: commonTypes.Millis;
@@ -100,9 +108,17 @@
     this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, deps.clock, (message) =>
       this.broadcast(message),
     );
+    this.relayExchange = new relayExchange.RelayExchange(
+      deps.clock,
+      deps.random,
+      () =>
+        [...this.sessions].map(({ relay, stream }) => ({ relay, send: stream.write.bind(stream) })),
+      deps.onRelays,
+    );
     this.subscriptions.push(
       this.rateLimitExchange,
       this.blameExchange,
+      this.relayExchange,
       deps.document.onChange(() => this.broadcastDocument()),
       deps.directory.onChange((list) => this.broadcastEndpoints(list)),
       deps.log.onLeadership(() => this.broadcastState()),
@@ -144,6 +160,7 @@
       stream,
       vm: '',
       version: 0,
+      relay: undefined,
       lastReceivedAt: now,
       plans,
       pendingResults: [],
@@ -215,6 +232,7 @@
     switch (message.kind) {
       case 'hello':
         this.recentEntryCount.record(message.entries ?? 0);
+        Object.assign(session, { relay: message.relay });
         this.handleHello(session, message.vm, message.version);
         break;
       case 'probe':
@@ -284,6 +302,7 @@
     this.sendDocumentTo(session);
     this.rateLimitExchange.greet((message) => session.stream.write(message));
     this.blameExchange.greet((message) => session.stream.write(message));
+    this.relayExchange.greet(session.relay, (message) => session.stream.write(message));
     const list = this.deps.directory.current;
     if (this.canPlan) {
       session.stream.write({ kind: 'endpoints', list });
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -115,6 +115,8 @@
       readonly version: number;
       /** Number of entry VMs that it knows of; absent means unknown. */
       readonly entries?: number;
+      /** Address (`ip:port`) at which it connects other VMs to endpoints; absent if it does not. */
+      readonly relay?: string;
     }
   /** Requests one state message, after which the stream is closed. */
   | { readonly kind: 'probe'; readonly vm: string }
@@ -168,6 +170,8 @@
     }
   | { readonly kind: 'document'; readonly version: number; readonly text: string }
   | { readonly kind: 'endpoints'; readonly list: routing.IEndpointList }
+  /** Addresses (`ip:port`) of some other entry VMs that connect this one to endpoints. */
+  | { readonly kind: 'relays'; readonly relays: readonly string[] }
   /** Results produced for plans of the entry VM, kept there in case the coordinator is lost. */
   | { readonly kind: 'made'; readonly made: readonly IPlanResult[] }
   /** Rate limits that any VM has seen. */
--- a/src/gateway/EndpointAgents.test.ts
+++ b/src/gateway/EndpointAgents.test.ts
@@ -2,6 +2,7 @@
 import type * as net from 'node:net';
 import * as vitest from 'vitest';
 import * as manualClock from '../common/testing/ManualClock.js';
+import * as directConnector from '../relay/DirectConnector.js';
 import * as endpointAgents from './EndpointAgents.js';
 
 const { expect, test } = vitest;
@@ -22,7 +23,10 @@
     server.listen(0, '127.0.0.1', resolve);
   });
   const { port } = server.address() as net.AddressInfo;
-  const agents = new endpointAgents.EndpointAgents(clock);
+  const agents = new endpointAgents.EndpointAgents(
+    clock,
+    new directConnector.DirectConnector(clock),
+  );
   const outcome = new Promise<string>((resolve) => {
     const agent = agents.agentFor(`127.0.0.1:${port}`, 1);
     const req = http.get({ host: '127.0.0.1', port, agent }, (res) => {
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -36,10 +36,10 @@
   /** The request has ended: the response is complete, or the caller or the deadline ended it. */
   | { readonly kind: 'done' }
   /**
-   * The engine did not execute the request; `inputsLost` if it reports that stage results are missing, `isLimited` if it
-   * names a rate limit.
+   * The engine did not execute the request; `inputsLost` if it reports that stage results are missing, `isHealthy` if this
+   * says nothing about its health: it names a rate limit, or this VM has lost its path to it.
    */
-  | { readonly kind: 'not-run'; readonly inputsLost: boolean; readonly isLimited: boolean }
+  | { readonly kind: 'not-run'; readonly inputsLost: boolean; readonly isHealthy: boolean }
   /** The response is truncated or not authentic, or it is an error response after the stream had started. */
   | { readonly kind: 'cut'; readonly reason: string }
   /** The request was sent, at least in part, but no response arrived. */
@@ -119,13 +119,17 @@
         continue;
       }
       avoid = [...avoid, endpoint.id];
+      const isBlamed = await this.isBlamed(attempt, endpoint);
+      if (scope.isFinished) {
+        return;
+      }
       if (!this.mayRetry(attempt)) {
-        deps.planner.markEnded(this.planId, attempt.kind === 'not-run' ? undefined : endpoint.id);
+        deps.planner.markEnded(this.planId, isBlamed ? endpoint.id : undefined);
         this.fail(attempt);
         return;
       }
       deps.metrics.count('retry', { reason: attempt.kind });
-      outcome = await this.chooseNextEngine(attempt, endpoint, avoid);
+      outcome = await this.chooseNextEngine(attempt, endpoint, avoid, isBlamed);
     }
   }
 
@@ -135,20 +139,26 @@
     return refusal && { kind: 'refused', reason: 'quarantined', retryAfter: refusal.retryAfter };
   }
 
+  /** Whether a failed attempt is held against its engine, for all VMs; not if this VM has lost its path to the engine. */
+  private async isBlamed(attempt: AttemptOutcome, endpoint: routing.IEndpoint): Promise<boolean> {
+    const isBroken = attempt.kind === 'lost' || attempt.kind === 'cut';
+    return isBroken && !(await this.deps.caller.hasLostPath(endpoint));
+  }
+
   /** Chooses an engine for the next attempt: under the current plan if its stage results are kept, else by a new plan. */
   private chooseNextEngine(
     attempt: AttemptOutcome,
     endpoint: routing.IEndpoint,
     avoid: readonly string[],
+    isBlamed: boolean,
   ): Promise<coordination.PlanOutcome> {
     const inputsLost = attempt.kind === 'not-run' && attempt.inputsLost;
     if (!inputsLost && !this.inputsReleased) {
-      const notRun = attempt.kind === 'not-run' && attempt.isLimited ? 'limited' : 'not-run';
-      const failure = attempt.kind === 'not-run' ? notRun : 'broken';
-      return this.deps.planner.reassign(this.planId, endpoint.id, failure);
+      const isHealthy = attempt.kind !== 'not-run' || attempt.isHealthy;
+      const notBroken = isHealthy ? 'limited' : 'not-run';
+      return this.deps.planner.reassign(this.planId, endpoint.id, isBlamed ? 'broken' : notBroken);
     }
-    const failed = attempt.kind === 'not-run' ? undefined : endpoint.id;
-    this.deps.planner.markEnded(this.planId, failed);
+    this.deps.planner.markEnded(this.planId, isBlamed ? endpoint.id : undefined);
     return this.plan(avoid);
   }
 
@@ -296,7 +306,8 @@
         return { kind: end };
       }
       this.executions -= 1;
-      return { kind: 'not-run', inputsLost: false, isLimited: false };
+      const isHealthy = await deps.caller.hasLostPath(endpoint);
+      return { kind: 'not-run', inputsLost: false, isHealthy };
     } finally {
       subscription.dispose();
       unregister();
@@ -309,7 +320,7 @@
     if (answer.isNotRun) {
       this.executions -= 1;
       const inputsLost = !answer.isWrongEndpoint && answer.status === 409;
-      return { kind: 'not-run', inputsLost, isLimited: answer.namesRateLimit };
+      return { kind: 'not-run', inputsLost, isHealthy: answer.namesRateLimit };
     }
     scope.mayHaveRun = true;
     if (!answer.isGenuine) {
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -179,6 +179,7 @@
     planOutcomes = [];
     cancelCount = 0;
     const caller: types.IEndpointCaller = {
+      hasLostPath: async () => false,
       send: (call) => {
         calls.push(call);
         const result = reply(call);
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -158,10 +158,14 @@
 
 /** Reports that a call ended without a response. */
 export class EndpointCallError extends Error {
-  /** `sent` is false if no byte of the request left this VM, so that the endpoint cannot have executed it. */
+  /**
+   * `sent` is false if no byte of the request left this VM, so that the endpoint cannot have executed it. `isRefused` is
+   * true if nothing listens at the endpoint's address, as this VM and another one see it, if another one is known.
+   */
   constructor(
     message: string,
     readonly sent: boolean,
+    readonly isRefused = false,
   ) {
     super(message);
     this.name = 'EndpointCallError';
@@ -172,6 +176,8 @@
 export interface IEndpointCaller {
   /** Starts a call and returns at once. */
   send(call: IEndpointCall): IStartedCall;
+  /** Whether this VM has lost its own path to an endpoint, so that a failed call says nothing about the endpoint. */
+  hasLostPath(endpoint: routing.IEndpoint): Promise<boolean>;
 }
 
 /** Collaborators of every request handler. */
--- a/src/routing/EndpointDirectory.ts
+++ b/src/routing/EndpointDirectory.ts
@@ -5,6 +5,8 @@
 export class EndpointDirectory {
   private byService = new Map<string, readonly types.IEndpoint[]>();
 
+  private addresses: ReadonlySet<string> = new Set();
+
   private list: types.IEndpointList = { revision: 0, endpoints: [] };
 
   private readonly changeEmitter = new emitter.Emitter<types.IEndpointList>();
@@ -22,6 +24,11 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Whether the list has an endpoint at an address (`ip:port`), draining or not. */
+  hasAddress(address: string): boolean {
+    return this.addresses.has(address);
+  }
+
   /** Replaces the whole list, rebuilds the index and notifies listeners. */
   replace(list: types.IEndpointList): void {
     this.list = list;
@@ -34,6 +41,7 @@
         index.set(endpoint.service, endpoints);
       });
     this.byService = index;
+    this.addresses = new Set(list.endpoints.map(({ address }) => address));
     this.changeEmitter.fire(list);
   }
 }
