--- a/src/batching/StageReplica.ts
+++ b/src/batching/StageReplica.ts
@@ -106,10 +106,11 @@
     this.blockedUntil = now + backoff;
   }
 
-  /** Records a call that the endpoint refused because it had no free call slot, and pauses new calls. */
-  recordCallRefusal(now: commonTypes.Millis): void {
+  /** Records a call that the endpoint refused because it had no free call slot, and pauses new calls for `minPause` at least. */
+  recordCallRefusal(now: commonTypes.Millis, minPause: commonTypes.Millis): void {
     this.activeCalls -= 1;
     this.pauseAfterFull(now);
+    this.blockedUntil = Math.max(this.blockedUntil, now + minPause);
   }
 
   /** Blocks new calls for a fixed time after the endpoint reported that it was full, even if it has capacity sooner. */
--- a/src/batching/StageScheduler.ts
+++ b/src/batching/StageScheduler.ts
@@ -1,5 +1,6 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
+import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as batchChooser from './BatchChooser.js';
@@ -38,11 +39,16 @@
  */
 const MIN_SPLIT_WORK_RATIO = 1;
 
+/** Pause of a brittle endpoint after a rejection, divided by the number of rejections in a second that it bears. */
+const REJECTION_PAUSE_MS = 2000;
+
 /** Dependencies of a scheduler. */
 export interface IStageSchedulerDependencies {
   readonly clock: commonTypes.IClock;
   readonly caller: types.IStageCaller;
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
+  /** Rejections in a second that endpoints bear; absent if none names a limit. */
+  readonly rejectionLimits?: rateLimitTable.RateLimitTable;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
 }
@@ -346,7 +352,9 @@
       logService.warn('stage-call-failed', { ...fields, reason, message });
       metrics.count('stage_call_failed', { service: this.serviceName, reason });
       if (reason === 'full') {
-        replica.recordCallRefusal(now);
+        const borne = this.dependencies.rejectionLimits?.limitOf(replica.endpoint.id);
+        const isBrittle = borne !== undefined;
+        replica.recordCallRefusal(now, isBrittle ? REJECTION_PAUSE_MS / Math.max(1, borne) : 0);
       } else {
         replica.recordCallFailure(now);
       }
--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -11,6 +11,7 @@
 import * as endpointPoller from '../routing/EndpointPoller.js';
 import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
 import * as sharedRateLimiter from '../ratelimit/SharedRateLimiter.js';
+import * as roomKeeper from '../room/RoomKeeper.js';
 import type * as routing from '../routing/Types.js';
 import * as documentService from './document/DocumentService.js';
 import * as documentState from './document/DocumentState.js';
@@ -69,6 +70,8 @@
   readonly stageCaller: batching.IStageCaller;
   /** Rate limits that responses to the stage caller state. */
   readonly rateLimitTable: rateLimitTable.RateLimitTable;
+  /** Rejections in a second that endpoints bear, as responses to the stage caller state them. */
+  readonly rejectionLimits: rateLimitTable.RateLimitTable;
   /** Checks whether engines that fail requests have crashed. */
   readonly crashConfirmer: blame.ICrashConfirmer;
   readonly source: endpointPoller.IEndpointSource;
@@ -119,6 +122,10 @@
     disposables.add(log);
     const directory = new endpointDirectory.EndpointDirectory();
     const { stageCaller: caller, metrics, rateLimitTable: limits, crashConfirmer } = dependencies;
+    const { rejectionLimits } = dependencies;
+    const rooms = disposables.add(
+      new roomKeeper.RoomKeeper({ clock, directory, limits: rejectionLimits, logService, metrics }),
+    );
     const crashes = new blameTable.BlameTable({ clock, logService, metrics });
     const rateLimiter = new sharedRateLimiter.SharedRateLimiter(
       limits,
@@ -129,16 +136,22 @@
       log.onLeadership((leads) => {
         if (leads) {
           rateLimiter.reset();
+          rooms.reset();
         }
       }),
     );
-    directory.onChange(({ endpoints }) => limits.retain(new Set(endpoints.map(({ id }) => id))));
+    directory.onChange(({ endpoints }) => {
+      const ids = new Set(endpoints.map(({ id }) => id));
+      [limits, rejectionLimits].forEach((table) => table.retain(ids));
+    });
     const coordinator = disposables.add(
       new coordinators.Coordinator({
         clock,
         caller,
         directory,
         rateLimiter,
+        rooms,
+        rejectionLimits,
         blameTable: crashes,
         crashConfirmer,
         admitsTrials: true,
@@ -156,6 +169,8 @@
         rateLimitTable: limits,
         rateLimiter,
         blameTable: crashes,
+        rejectionLimits,
+        roomKeeper: rooms,
         clock,
         random,
         logService,
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -3,8 +3,11 @@
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import * as enginePlacer from '../placing/EnginePlacer.js';
+import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
+import type * as rooms from '../room/Types.js';
+import * as unboundedRoom from '../room/UnboundedRoom.js';
 import type * as routing from '../routing/Types.js';
 import * as placementQueue from './PlacementQueue.js';
 import * as planAdmission from './PlanAdmission.js';
@@ -19,6 +22,10 @@
   readonly caller: batching.IStageCaller;
   readonly directory: endpointDirectory.EndpointDirectory;
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
+  /** Room at brittle engines; absent if it is not bounded. */
+  readonly rooms?: rooms.IRoomCheck;
+  /** Rejections in a second that endpoints bear; absent if none names a limit. */
+  readonly rejectionLimits?: rateLimitTable.RateLimitTable;
 }
 
 interface IPlanState {
@@ -68,8 +75,11 @@
 
   private readonly subscription: commonTypes.IDisposable;
 
+  private readonly rooms: rooms.IRoomCheck;
+
   /** Creates a coordinator that serves requests once `configure` has been called. */
   constructor(private readonly deps: ICoordinatorDependencies) {
+    this.rooms = deps.rooms ?? new unboundedRoom.UnboundedRoom();
     this.versions = new planVersions.PlanVersions(deps.clock, deps.directory);
     this.subscription = deps.directory.onChange(() => this.updateServices());
     this.releaser = new resultReleaser.ResultReleaser(deps, (service) =>
@@ -293,7 +303,8 @@
       }
       if (engine !== undefined) {
         const placer =
-          this.placers.get(name) ?? new enginePlacer.EnginePlacer(clock, engine, rateLimiter);
+          this.placers.get(name) ??
+          new enginePlacer.EnginePlacer(clock, engine, rateLimiter, this.rooms);
         this.placers.set(name, placer);
         placer.updateEndpoints(directory.ready(name), engine);
       }
--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -12,6 +12,7 @@
 import * as rateLimitTable from '../ratelimit/RateLimitTable.js';
 import * as sharedRateLimiter from '../ratelimit/SharedRateLimiter.js';
 import * as unlimitedRateLimiter from '../ratelimit/testing/UnlimitedRateLimiter.js';
+import * as roomKeeper from '../room/RoomKeeper.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import * as coordinators from './Coordinator.js';
 import * as feedClient from './FeedClient.js';
@@ -53,6 +54,7 @@
     logService,
     metrics,
   });
+  const rejectionLimits = new rateLimitTable.RateLimitTable({ clock, logService, metrics });
   const feed = new feedServer.FeedServer(server, {
     log,
     document: new documentState.DocumentState(),
@@ -61,6 +63,14 @@
     rateLimitTable: table,
     blameTable: crashes.blameTable,
     rateLimiter: new sharedRateLimiter.SharedRateLimiter(table, clock, () => true),
+    rejectionLimits,
+    roomKeeper: new roomKeeper.RoomKeeper({
+      clock,
+      directory,
+      limits: rejectionLimits,
+      logService,
+      metrics,
+    }),
     clock,
     random: new seededRandom.SeededRandom(1),
     logService,
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -5,6 +5,7 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as rateLimits from '../ratelimit/Types.js';
+import type * as rooms from '../room/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as feedConnection from './FeedConnection.js';
 import * as heldResults from './HeldResults.js';
@@ -52,7 +53,12 @@
  * Keeps one connection to the control VM that coordinates, and searches for its successor when the connection is lost.
  */
 export class FeedClient
-  implements types.IPlanner, rateLimits.ICoordinatorLink, blame.IBlameLink, commonTypes.IDisposable
+  implements
+    types.IPlanner,
+    rateLimits.ICoordinatorLink,
+    rooms.IRoomLink,
+    blame.IBlameLink,
+    commonTypes.IDisposable
 {
   private readonly stopController = new AbortController();
 
@@ -82,12 +88,20 @@
 
   private readonly coordinatorFoundEmitter = new emitter.Emitter<void>();
 
+  private readonly coordinatorLostEmitter = new emitter.Emitter<void>();
+
   private readonly permitEmitter = new emitter.Emitter<rateLimits.IPermitAnswer>();
 
   private readonly rateLimitsEmitter = new emitter.Emitter<
     readonly rateLimits.IRateLimitObservation[]
   >();
 
+  private readonly rejectionLimitsEmitter = new emitter.Emitter<
+    readonly rateLimits.IRateLimitObservation[]
+  >();
+
+  private readonly roomEmitter = new emitter.Emitter<rooms.RoomAnswer>();
+
   private readonly blameEmitter = new emitter.Emitter<blame.IBlameNews>();
 
   private readonly trialEmitter = new emitter.Emitter<blame.ITrialAnswer>();
@@ -101,12 +115,21 @@
   /** @inheritdoc */
   readonly onCoordinatorFound = this.coordinatorFoundEmitter.event;
 
+  /** @inheritdoc */
+  readonly onCoordinatorLost = this.coordinatorLostEmitter.event;
+
   /** @inheritdoc */
   readonly onPermit = this.permitEmitter.event;
 
   /** @inheritdoc */
   readonly onRateLimits = this.rateLimitsEmitter.event;
 
+  /** @inheritdoc */
+  readonly onRejectionLimits = this.rejectionLimitsEmitter.event;
+
+  /** @inheritdoc */
+  readonly onRoom = this.roomEmitter.event;
+
   /** Fires for each configuration that a control VM sends. */
   readonly onDocument = this.documentEmitter.event;
 
@@ -197,6 +220,30 @@
     }
   }
 
+  /** @inheritdoc */
+  sendRejectionLimits(observations: readonly rateLimits.IRateLimitObservation[]): void {
+    if (observations.length > 0) {
+      this.send({ kind: 'rejection-limits', observations });
+    }
+  }
+
+  /** @inheritdoc */
+  requestRoom(request: rooms.IRoomRequest): void {
+    this.send({ kind: 'room', request });
+  }
+
+  /** @inheritdoc */
+  releaseRoom(roomId: string, outcome: rooms.RoomOutcome): void {
+    this.send({ kind: 'room-end', roomId, outcome });
+  }
+
+  /** @inheritdoc */
+  sendRooms(used: readonly rooms.IRoomUse[]): void {
+    if (used.length > 0) {
+      this.send({ kind: 'rooms', rooms: used });
+    }
+  }
+
   /** @inheritdoc */
   sendBlame(news: blame.IBlameNews): void {
     if (news.crashes.length + news.proofs.length > 0) {
@@ -400,6 +447,12 @@
       case 'limits':
         this.rateLimitsEmitter.fire(message.observations);
         break;
+      case 'rejection-limits':
+        this.rejectionLimitsEmitter.fire(message.observations);
+        break;
+      case 'room':
+        this.roomEmitter.fire(message.answer);
+        break;
       case 'blame':
         this.blameEmitter.fire(message.news);
         break;
@@ -441,6 +494,7 @@
   }
 
   private failPending(): void {
+    this.coordinatorLostEmitter.fire();
     const pendingPlans = [...this.pending.values()];
     this.pending.clear();
     pendingPlans.forEach(({ resolve }) => resolve(LOST_OUTCOME));
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -9,12 +9,14 @@
 import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
+import type * as roomKeeper from '../room/RoomKeeper.js';
 import type * as routing from '../routing/Types.js';
 import type * as coordinator from './Coordinator.js';
 import * as blameExchange from './BlameExchange.js';
 import * as feedCodec from './FeedCodec.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
 import * as relayExchange from './RelayExchange.js';
+import * as roomExchange from './RoomExchange.js';
 import type * as types from './Types.js';
 
 type Stream = grpc.ServerDuplexStream<types.UpMessage, types.DownMessage>;
@@ -60,6 +62,9 @@
   readonly rateLimitTable: rateLimitTable.RateLimitTable;
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
   readonly blameTable: blameTable.BlameTable;
+  /** Rejections in a second that endpoints bear. */
+  readonly rejectionLimits: rateLimitTable.RateLimitTable;
+  readonly roomKeeper: roomKeeper.RoomKeeper;
   readonly clock: commonTypes.IClock;
   readonly random: commonTypes.IRandom;
   readonly logService: commonServices.ILogService;
@@ -82,6 +87,8 @@
 
   private readonly blameExchange: blameExchange.BlameExchange;
 
+  private readonly roomExchange: roomExchange.RoomExchange;
+
   private readonly relayExchange: relayExchange.RelayExchange;
 
   private isCoordinating = false;
@@ -105,6 +112,15 @@
       deps.rateLimiter,
       (message) => this.broadcast(message),
     );
+    this.roomExchange = new roomExchange.RoomExchange(
+      deps.roomKeeper,
+      new rateLimitExchange.RateLimitExchange(
+        deps.rejectionLimits,
+        deps.rateLimiter,
+        (message) => this.broadcast(message),
+        'rejection-limits',
+      ),
+    );
     this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, deps.clock, (message) =>
       this.broadcast(message),
     );
@@ -119,6 +135,7 @@
       this.rateLimitExchange,
       this.blameExchange,
       this.relayExchange,
+      this.roomExchange,
       deps.document.onChange(() => this.broadcastDocument()),
       deps.directory.onChange((list) => this.broadcastEndpoints(list)),
       deps.log.onLeadership(() => this.broadcastState()),
@@ -178,6 +195,7 @@
     }
     this.deps.logService.info('feed-closed', { vm: session.vm, reason });
     session.stream.end();
+    this.roomExchange.disconnect(session.vm);
     this.abandonPlans(session);
     this.deps.clock.setTimer(PLAN_HANDOVER_MS, () => {
       this.moveReadyPlans(session);
@@ -273,6 +291,12 @@
       case 'limits':
         this.rateLimitExchange.handleLimits(session.vm, message.observations, send);
         break;
+      case 'room':
+      case 'room-end':
+      case 'rooms':
+      case 'rejection-limits':
+        this.roomExchange.handle(session.vm, message, this.isCoordinating, send);
+        break;
       case 'blame':
         this.blameExchange.handleNews(message.news);
         break;
@@ -302,6 +326,7 @@
     this.sendDocumentTo(session);
     this.rateLimitExchange.greet((message) => session.stream.write(message));
     this.blameExchange.greet((message) => session.stream.write(message));
+    this.roomExchange.greet((message) => session.stream.write(message));
     this.relayExchange.greet(session.relay, (message) => session.stream.write(message));
     const list = this.deps.directory.current;
     if (this.canPlan) {
--- a/src/coordination/RateLimitExchange.ts
+++ b/src/coordination/RateLimitExchange.ts
@@ -13,16 +13,17 @@
 export class RateLimitExchange implements commonTypes.IDisposable {
   private readonly subscription: commonTypes.IDisposable;
 
-  /** `broadcast` sends to all connected entry VMs. */
+  /** `broadcast` sends to all connected entry VMs; `kind` is that of the messages with limits. */
   constructor(
     private readonly table: rateLimitTable.RateLimitTable,
     private readonly limiter: rateLimits.IEndpointRateLimiter,
     broadcast: SendFn,
+    private readonly kind: 'limits' | 'rejection-limits' = 'limits',
   ) {
     this.subscription = table.onChange(({ endpointId }) => {
       const observation = table.observationOf(endpointId);
       if (observation !== undefined) {
-        broadcast({ kind: 'limits', observations: [observation] });
+        broadcast({ kind, observations: [observation] });
       }
     });
   }
@@ -31,7 +32,7 @@
   greet(send: SendFn): void {
     const { observations } = this.table;
     if (observations.length > 0) {
-      send({ kind: 'limits', observations });
+      send({ kind: this.kind, observations });
     }
   }
 
@@ -43,7 +44,7 @@
   ): void {
     const observations = this.table.merge(received, vm);
     if (observations.length > 0) {
-      send({ kind: 'limits', observations });
+      send({ kind: this.kind, observations });
     }
   }
 
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -4,6 +4,7 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as placing from '../placing/Types.js';
 import type * as rateLimits from '../ratelimit/Types.js';
+import type * as rooms from '../room/Types.js';
 import type * as routing from '../routing/Types.js';
 import type * as streamVersions from './StreamVersions.js';
 
@@ -140,6 +141,17 @@
   | { readonly kind: 'endpoints'; readonly list: routing.IEndpointList }
   /** Rate limits that the entry VM has seen, where the coordinator may not know them. */
   | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
+  /** Rejections in a second that endpoints bear, as the entry VM has seen them. */
+  | {
+      readonly kind: 'rejection-limits';
+      readonly observations: readonly rateLimits.IRateLimitObservation[];
+    }
+  /** Request for room at a brittle endpoint. */
+  | { readonly kind: 'room'; readonly request: rooms.IRoomRequest }
+  /** The room is free again. */
+  | { readonly kind: 'room-end'; readonly roomId: string; readonly outcome: rooms.RoomOutcome }
+  /** Room that the entry VM uses, for a coordinator that did not grant it. */
+  | { readonly kind: 'rooms'; readonly rooms: readonly rooms.IRoomUse[] }
   /** What the entry VM knows of crashes of endpoints, where the coordinator may not know it. */
   | { readonly kind: 'blame'; readonly news: blame.IBlameNews }
   /** Streams that the entry VM has begun lately, for a coordinator that may not know them. */
@@ -176,6 +188,12 @@
   | { readonly kind: 'made'; readonly made: readonly IPlanResult[] }
   /** Rate limits that any VM has seen. */
   | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
+  /** Rejections in a second that endpoints bear, as any VM has seen them. */
+  | {
+      readonly kind: 'rejection-limits';
+      readonly observations: readonly rateLimits.IRateLimitObservation[];
+    }
+  | { readonly kind: 'room'; readonly answer: rooms.RoomAnswer }
   /** What any VM knows of crashes of endpoints. */
   | { readonly kind: 'blame'; readonly news: blame.IBlameNews }
   | { readonly kind: 'trial'; readonly answer: blame.ITrialAnswer }
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -5,6 +5,7 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as streamVersions from '../coordination/StreamVersions.js';
 import type * as coordination from '../coordination/Types.js';
+import type * as endpointRooms from '../room/EndpointRooms.js';
 import type * as routing from '../routing/Types.js';
 import * as answerBody from './AnswerBody.js';
 import * as eventRelay from './EventRelay.js';
@@ -27,6 +28,7 @@
 /** Collaborators of an EngineRequestHandler. */
 export interface IEngineRequestDependencies extends types.IRequestHandlerDependencies {
   readonly planner: coordination.IPlanner;
+  readonly rooms: endpointRooms.EndpointRooms;
   readonly blameTable: blameTable.BlameTable;
   readonly streams: streamVersions.StreamVersions;
 }
@@ -263,6 +265,7 @@
     }
     const started = deps.clock.monotonic();
     const call = deps.caller.send(this.buildCall(endpoint, inputs));
+    const placed = deps.rooms.recordPlaced(this.planId, endpoint.id);
     const unregister = scope.onFinish(() => call.cancel());
     let isQuarantined = false;
     const subscription = deps.blameTable.onVerdict(() => {
@@ -310,6 +313,7 @@
       return { kind: 'not-run', inputsLost: false, isHealthy };
     } finally {
       subscription.dispose();
+      placed.dispose();
       unregister();
       scope.attemptsInFlight -= 1;
     }
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -11,6 +11,7 @@
 import * as streamVersions from '../coordination/StreamVersions.js';
 import type * as coordination from '../coordination/Types.js';
 import type * as rateLimits from '../ratelimit/Types.js';
+import * as rooms from '../room/testing/Rooms.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import * as gateways from './Gateway.js';
@@ -151,6 +152,7 @@
   let permits: FakePermits;
   let crashes: blameTable.BlameTable;
   let streams: streamVersions.StreamVersions;
+  let testRooms: rooms.ITestRooms;
   let confirmer: fakeCrashConfirmer.FakeCrashConfirmer;
   let blameLink: fakeBlameLink.FakeBlameLink;
   let cancelledPlans: string[];
@@ -224,12 +226,14 @@
     confirmer = new fakeCrashConfirmer.FakeCrashConfirmer();
     blameLink = new fakeBlameLink.FakeBlameLink();
     streams = new streamVersions.StreamVersions(clock);
+    testRooms = rooms.makeRooms(clock, directory);
     gateway = new gateways.Gateway({
       clock,
       random,
       caller,
       planner,
       permits,
+      rooms: testRooms.rooms,
       blameTable: crashes,
       quarantine: new plainQuarantine.PlainQuarantine({
         clock,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -4,6 +4,7 @@
 import type * as streamVersions from '../coordination/StreamVersions.js';
 import type * as coordination from '../coordination/Types.js';
 import type * as rateLimits from '../ratelimit/Types.js';
+import type * as endpointRooms from '../room/EndpointRooms.js';
 import * as routeIndex from '../routing/RouteIndex.js';
 import type * as routing from '../routing/Types.js';
 import type * as plainQuarantine from './PlainQuarantine.js';
@@ -30,6 +31,7 @@
   readonly balancer: serviceBalancer.ServiceBalancer;
   readonly budget: retryBudget.RetryBudget;
   readonly permits: rateLimits.IPermitService;
+  readonly rooms: endpointRooms.EndpointRooms;
   readonly blameTable: blameTable.BlameTable;
   readonly quarantine: plainQuarantine.PlainQuarantine;
   readonly streams: streamVersions.StreamVersions;
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -3,6 +3,8 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as rateLimits from '../ratelimit/Types.js';
+import type * as endpointRooms from '../room/EndpointRooms.js';
+import type * as room from '../room/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as answerBody from './AnswerBody.js';
 import * as plainQuarantine from './PlainQuarantine.js';
@@ -19,13 +21,26 @@
 const HEDGE_GOAL_RATIO = 0.5;
 /** See HEDGE_GOAL_RATIO. */
 const HEDGE_LATENCY_FACTOR = 2.5;
+/** Part of what is left of the latency goal for which a request waits for room at a brittle endpoint. */
+const ROOM_WAIT_GOAL_RATIO = 0.5;
 /** Value of Retry-After in the response to a rejected request. */
 const RETRY_AFTER_MS = 200;
 
+/** How the end of a call reflects on the room that it took. */
+const ROOM_OUTCOMES = {
+  ok: 'served',
+  error: 'served',
+  lost: 'lost',
+  refused: 'rejected',
+  limited: 'served',
+  cancelled: 'cancelled',
+} as const;
+
 /** Collaborators of a PlainRequestHandler. */
 export interface IPlainRequestDependencies extends types.IRequestHandlerDependencies {
   readonly balancer: serviceBalancer.ServiceBalancer;
   readonly permits: rateLimits.IPermitService;
+  readonly rooms: endpointRooms.EndpointRooms;
   readonly quarantine: plainQuarantine.PlainQuarantine;
 }
 
@@ -41,6 +56,8 @@
   | { readonly kind: 'whole'; readonly complete: ICompleteAnswer }
   /** The endpoint did not execute the request, or no endpoint is left. */
   | { readonly kind: 'not-run' }
+  /** All endpoints are brittle and have no room for the request in time. */
+  | { readonly kind: 'no-room'; readonly retryAfter: commonTypes.Millis }
   /** No complete response; `sent` is false if no byte of the request left this VM. */
   | { readonly kind: 'lost'; readonly sent: boolean }
   /** The request ended during the attempt. */
@@ -112,6 +129,9 @@
     if (scope.attemptCount >= MAX_ATTEMPTS || !this.hasUntriedEndpoint() || this.isQuarantined) {
       return false;
     }
+    if (outcome.kind === 'no-room') {
+      return false;
+    }
     const notExecuted = outcome.kind === 'not-run' || (outcome.kind === 'lost' && !outcome.sent);
     const mayExecute = notExecuted || (this.isSafe && this.executions < scope.route.maxExecutions);
     // A retry after an attempt that never left this VM does not draw on the budget.
@@ -148,7 +168,8 @@
     }
     const rejection = scope.isNotRun ? 'overloaded' : 'endpoint-failed';
     const limitDelay = this.deps.balancer.limitDelay(scope.service);
-    const retryAfter = Math.max(RETRY_AFTER_MS, limitDelay);
+    const roomDelay = outcome.kind === 'no-room' ? outcome.retryAfter : 0;
+    const retryAfter = Math.max(RETRY_AFTER_MS, limitDelay, roomDelay);
     this.log('rejected', { rejection, last: outcome.kind, limitDelay: Math.round(limitDelay) });
     this.deps.metrics.count('refused', { reason: rejection });
     scope.responder.reject(rejection, retryAfter);
@@ -179,7 +200,11 @@
     );
     const isSlow = await this.isSlower(first, delay);
     const mayHedge = isSlow && !scope.isFinished && this.executions < scope.route.maxExecutions;
-    const canHedge = mayHedge && this.hasUntriedEndpoint(false) && !this.isQuarantined;
+    const canHedge =
+      mayHedge &&
+      this.hasUntriedEndpoint(false) &&
+      !this.isQuarantined &&
+      !deps.rooms.isBrittle(scope.service);
     if (!canHedge || !deps.budget.take()) {
       return first;
     }
@@ -219,10 +244,56 @@
     });
   }
 
-  /** Chooses an endpoint that its rate limit allows, and sends the request there. */
-  private attempt(allowsLimited = true, refused: readonly string[] = []): Promise<Outcome> {
+  /**
+   * Chooses an endpoint that its rate limit allows, and sends the request there. `isFirst` is false for a hedged attempt,
+   * which leaves limited endpoints, and room for which others wait, to first ones.
+   */
+  private attempt(isFirst = true, refused: readonly string[] = []): Promise<Outcome> {
     const { scope, deps, triedEndpoints } = this;
     const excluded = [...triedEndpoints, ...refused];
+    return deps.rooms.isBrittle(scope.service)
+      ? this.attemptWithRoom(isFirst, excluded)
+      : this.attemptAt(isFirst, refused, excluded);
+  }
+
+  /** Waits for room at an endpoint that falls over if it has to reject requests, and sends the request there. */
+  private async attemptWithRoom(isFirst: boolean, excluded: readonly string[]): Promise<Outcome> {
+    const { scope, deps } = this;
+    const granted = await deps.rooms.acquire({
+      service: scope.service,
+      excluded,
+      maxWait: isFirst ? this.maxRoomWait : 0,
+      timeLeft: scope.timeLeft,
+      priority: scope.priority,
+    });
+    if (!('endpoint' in granted)) {
+      return scope.isFinished ? { kind: 'over' } : { kind: 'no-room', ...granted };
+    }
+    const { endpoint } = granted;
+    const isAllowed = !scope.isFinished && (await deps.permits.acquire(endpoint.id));
+    if (scope.isFinished || !isAllowed) {
+      granted.release('cancelled');
+      return scope.isFinished ? { kind: 'over' } : { kind: 'not-run' };
+    }
+    return this.sendTo(endpoint, granted).catch((err: Error) => {
+      granted.release('cancelled');
+      throw err;
+    });
+  }
+
+  /** Longest wait for room; a caller who is refused then has time to come back. */
+  private get maxRoomWait(): commonTypes.Millis {
+    const { scope } = this;
+    const goalLeft = scope.route.latencyGoal - scope.age;
+    return Math.max(0, Math.min(goalLeft, scope.timeLeft) * ROOM_WAIT_GOAL_RATIO);
+  }
+
+  private attemptAt(
+    allowsLimited: boolean,
+    refused: readonly string[],
+    excluded: readonly string[],
+  ): Promise<Outcome> {
+    const { scope, deps } = this;
     const endpoint = deps.balancer.choose(scope.service, { excluded, allowsLimited });
     if (endpoint === undefined) {
       return Promise.resolve({ kind: 'not-run' });
@@ -245,7 +316,7 @@
   }
 
   /** Sends the request to one endpoint and reads its response. */
-  private async sendTo(endpoint: routing.IEndpoint): Promise<Outcome> {
+  private async sendTo(endpoint: routing.IEndpoint, granted?: room.IRoom): Promise<Outcome> {
     const { scope, deps } = this;
     const started = deps.clock.monotonic();
     // Before the attempt is counted, because `send` throws if the request cannot be encoded.
@@ -284,6 +355,7 @@
       const end = isCancelled ? 'cancelled' : outcome;
       deps.quarantine.recordEnded(attemptId, isCancelled ? 'left' : attemptEnd);
       deps.balancer.recordEnd(endpoint.id, end, took, load);
+      granted?.release(ROOM_OUTCOMES[end]);
       const fields = { endpoint: endpoint.id, end, took: Math.round(took), reason };
       this.log('sending-ended', fields);
       if (end === 'lost') {
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -1,5 +1,6 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as rateLimits from '../ratelimit/Types.js';
+import type * as room from '../room/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as engineState from './EngineState.js';
 import * as promptCacheEstimate from './PromptCacheEstimate.js';
@@ -23,9 +24,17 @@
 /** Twice the typical time from sending a request to its first token. */
 const PREFILL_WINDOW_MS = 400;
 
+/** Interval at which requests that wait for room at a brittle engine are tried again. */
+const ROOM_RETRY_MS = 20;
+/** Weight of a new sample in the average duration of requests. */
+const DURATION_SAMPLE_WEIGHT = 0.1;
+/** Assumed duration of requests before the first one has ended. */
+const INITIAL_DURATION_MS = 500;
+
 interface IPlacedRequest {
   readonly engine: engineState.EngineState;
   readonly unreadTokens: number;
+  readonly placedAt: commonTypes.Millis;
   hasStarted: boolean;
 }
 
@@ -62,11 +71,15 @@
 
   private limits: routing.IEngineLimits;
 
+  /** Average time from the placement of a request to its end, at least 1 ms. */
+  private usualDuration: commonTypes.Millis = INITIAL_DURATION_MS;
+
   /** Creates a placer without engines; `limits` apply to each engine. */
   constructor(
     private readonly clock: commonTypes.IClock,
     limits: routing.IEngineLimits,
     private readonly rateLimiter: rateLimits.IEndpointRateLimiter,
+    private readonly rooms: room.IRoomCheck,
   ) {
     this.limits = limits;
   }
@@ -96,7 +109,7 @@
   place(req: IPlacementRequest): routing.IEndpoint | undefined {
     const now = this.clock.monotonic();
     const engines = this.enginesFor(req).filter(
-      ({ endpoint }) => this.rateLimiter.delayOf(endpoint.id) === 0,
+      (engine) => this.rateLimiter.delayOf(engine.endpoint.id) === 0 && this.hasRoom(engine),
     );
     const healthy = engines.filter(
       (engine) => engine.ejectedUntil <= now && !engine.isStalled(now),
@@ -113,15 +126,28 @@
    * Time until the rate limit of an engine allows a request, 0 if it does now; infinite if no engine may run it.
    */
   limitDelay(req: Pick<IPlacementRequest, 'avoid' | 'version'>): commonTypes.Millis {
-    const delays = this.enginesFor(req).map(({ endpoint }) =>
-      this.rateLimiter.delayOf(endpoint.id),
+    const delays = this.enginesFor(req).map((engine) =>
+      Math.max(
+        this.rateLimiter.delayOf(engine.endpoint.id),
+        this.hasRoom(engine) ? 0 : ROOM_RETRY_MS,
+      ),
     );
     return Math.min(Number.POSITIVE_INFINITY, ...delays);
   }
 
-  /** Requests per second that all engines together accept; undefined while there is one without a rate limit. */
+  /**
+   * Requests per second that all engines together accept; undefined while there is one without a rate limit that is not
+   * brittle either. A brittle engine accepts as many as it runs at the same time, each for the usual duration.
+   */
   get rateLimit(): number | undefined {
-    const rates = [...this.engines.keys()].map((id) => this.rateLimiter.rateOf(id));
+    const rates = [...this.engines.values()].map(({ endpoint }) => {
+      const rate = this.rateLimiter.rateOf(endpoint.id);
+      const isBounded = this.rooms.isBounded(endpoint);
+      const capacity = isBounded ? (endpoint.slots * 1000) / this.usualDuration : undefined;
+      return rate === undefined || capacity === undefined
+        ? (rate ?? capacity)
+        : Math.min(rate, capacity);
+    });
     const isUnlimited = rates.length === 0 || rates.includes(undefined);
     return isUnlimited ? undefined : rates.reduce<number>((sum, rate) => sum + (rate ?? 0), 0);
   }
@@ -146,6 +172,10 @@
       }
       this.placedRequests.delete(planId);
       placed.engine.removeRequest();
+      if (placed.hasStarted) {
+        const took = this.clock.monotonic() - placed.placedAt;
+        this.usualDuration += DURATION_SAMPLE_WEIGHT * (took - this.usualDuration);
+      }
     }
   }
 
@@ -176,6 +206,10 @@
     return PREFILL_WINDOW_MS / 2;
   }
 
+  private hasRoom({ endpoint, placedRequestCount }: engineState.EngineState): boolean {
+    return this.rooms.hasRoom(endpoint, placedRequestCount);
+  }
+
   private enginesFor({
     avoid,
     version,
@@ -190,7 +224,13 @@
   private assign(engine: engineState.EngineState, req: IPlacementRequest): void {
     this.removeRequest(req.planId);
     const tokens = engine.addRequest(req.prompt, this.clock.monotonic());
-    this.placedRequests.set(req.planId, { engine, unreadTokens: tokens, hasStarted: false });
+    const placedAt = this.clock.monotonic();
+    this.placedRequests.set(req.planId, {
+      engine,
+      unreadTokens: tokens,
+      placedAt,
+      hasStarted: false,
+    });
   }
 
   private findCheapest(
--- a/src/ratelimit/RateLimitTable.ts
+++ b/src/ratelimit/RateLimitTable.ts
@@ -16,8 +16,19 @@
   readonly clock: commonTypes.IClock;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
+  /** What the numbers limit; names the table's log lines and counters. */
+  readonly kind?: LimitKind;
 }
 
+/** Kind of a limit: requests per second, or rejections per second that an endpoint bears. */
+export type LimitKind = 'rate-limit' | 'rejection-limit';
+
+/** Counter of the calls to endpoints that name a limit, and of limits that cannot be decoded. */
+const COUNTERS = {
+  'rate-limit': { calls: 'limited_endpoint_calls', unreadable: 'rate_limit_unreadable' },
+  'rejection-limit': { calls: 'brittle_endpoint_calls', unreadable: 'rejection_limit_unreadable' },
+} as const;
+
 /**
  * A limit with the time span in which the endpoint stated it: between the sending of a request and the arrival of its
  * response, on the monotonic clock of this VM.
@@ -34,7 +45,9 @@
  * unknown and the lower limit holds. Tables that exchange their observations therefore agree, in whatever order these
  * arrive. Its size is bounded by the endpoints that named a limit and are listed, or were within RETENTION_MS.
  */
-export class RateLimitTable implements types.ICallObserver {
+export class RateLimitTable {
+  private readonly kind: LimitKind;
+
   private readonly records = new Map<string, IRecord>();
 
   private readonly changeEmitter = new emitter.Emitter<types.IRateLimitChange>();
@@ -43,7 +56,9 @@
   readonly onChange = this.changeEmitter.event;
 
   /** Creates an empty table. */
-  constructor(private readonly deps: IRateLimitTableDependencies) {}
+  constructor(private readonly deps: IRateLimitTableDependencies) {
+    this.kind = deps.kind ?? 'rate-limit';
+  }
 
   /**
    * Requests per second that an endpoint accepts from all VMs together; undefined if it names no limit.
@@ -78,19 +93,19 @@
     };
   }
 
-  /** @inheritdoc */
+  /** Counts a call to an endpoint that names a limit. */
   recordCall(endpointId: string, kind: types.CallKind): void {
     if (this.limitOf(endpointId) !== undefined) {
-      this.deps.metrics.count('limited_endpoint_calls', { kind });
+      this.deps.metrics.count(COUNTERS[this.kind].calls, { kind });
     }
   }
 
-  /** @inheritdoc */
+  /** Records what a response to this VM says about the limit of its endpoint. */
   recordStatement({ endpointId, limit, origin, sentAt }: types.IRateLimitStatement): void {
     const { clock, logService, metrics } = this.deps;
     if (limit === 'unreadable') {
-      metrics.count('rate_limit_unreadable');
-      logService.warn('rate-limit-unreadable', { endpoint: endpointId, origin });
+      metrics.count(COUNTERS[this.kind].unreadable);
+      logService.warn(`${this.kind}-unreadable`, { endpoint: endpointId, origin });
       return;
     }
     // A failure may come from a part of the endpoint that names no limits, so that only an answer shows the end of one.
@@ -148,11 +163,11 @@
     if (latest.limit !== previous) {
       const fields = { endpoint: endpointId, source };
       if (latest.limit === NO_LIMIT) {
-        this.deps.logService.info('rate-limit-lifted', { ...fields, previous });
+        this.deps.logService.info(`${this.kind}-lifted`, { ...fields, previous });
       } else {
         const before = previous === NO_LIMIT ? undefined : previous;
         const { limit } = latest;
-        this.deps.logService.info('rate-limit-named', { ...fields, limit, previous: before });
+        this.deps.logService.info(`${this.kind}-named`, { ...fields, limit, previous: before });
       }
       this.changeEmitter.fire({ endpointId, isOwn });
     }
--- a/src/ratelimit/Types.ts
+++ b/src/ratelimit/Types.ts
@@ -33,6 +33,8 @@
   recordCall(endpointId: string, kind: CallKind): void;
   /** Records what a response says about the rate limit of its endpoint. */
   recordStatement(statement: IRateLimitStatement): void;
+  /** Records what a response says about the number of rejections in a second that its endpoint bears. */
+  recordRejectionLimit(statement: IRateLimitStatement): void;
 }
 
 /**
--- a/src/ratelimit/testing/RecordingCallObserver.ts
+++ b/src/ratelimit/testing/RecordingCallObserver.ts
@@ -6,6 +6,8 @@
 
   readonly statements: types.IRateLimitStatement[] = [];
 
+  readonly rejectionLimits: types.IRateLimitStatement[] = [];
+
   /** @inheritdoc */
   recordCall(endpointId: string, kind: types.CallKind): void {
     this.calls.push({ endpointId, kind });
@@ -15,4 +17,9 @@
   recordStatement(statement: types.IRateLimitStatement): void {
     this.statements.push(statement);
   }
+
+  /** @inheritdoc */
+  recordRejectionLimit(statement: types.IRateLimitStatement): void {
+    this.rejectionLimits.push(statement);
+  }
 }
