--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -17,6 +17,7 @@
 import * as documentState from './document/DocumentState.js';
 import * as groupManager from './group/GroupManager.js';
 import * as groupMonitor from './group/GroupMonitor.js';
+import * as closableDisk from './log/ClosableDisk.js';
 import * as privateDisk from './log/PrivateDisk.js';
 import * as retryOnFullDisk from './log/RetryOnFullDisk.js';
 import * as grpcPeerTransport from './replication/GrpcPeerTransport.js';
@@ -91,6 +92,7 @@
     readonly log: replica.Replica,
     /** Serves the connected entry VMs and reports whether this VM is the coordinator. */
     readonly feed: feedServer.FeedServer,
+    private readonly disk: closableDisk.ClosableDisk,
   ) {}
 
   /**
@@ -118,7 +120,8 @@
       clock,
     );
     disposables.add(transport);
-    const log = await openLog(options, dependencies, state, transport);
+    const disk = new closableDisk.ClosableDisk(new privateDisk.PrivateDisk(options.diskBytes));
+    const log = await openLog(options, dependencies, state, transport, disk);
     disposables.add(log);
     const directory = new endpointDirectory.EndpointDirectory();
     const { stageCaller: caller, metrics, rateLimitTable: limits, crashConfirmer } = dependencies;
@@ -192,13 +195,19 @@
     );
     await bind(server, address);
     const documents = new documentService.DocumentService(log, state, logService);
-    return new DocumentProcess(disposables, documents, log, feed);
+    return new DocumentProcess(disposables, documents, log, feed, disk);
   }
 
   /** @inheritdoc */
   dispose(): void {
     this.disposables.dispose();
   }
+
+  /** Disposes, and resolves once nothing of this control VM reaches its data folder any more. */
+  async close(): Promise<void> {
+    this.dispose();
+    await this.disk.close();
+  }
 }
 
 function openLog(
@@ -206,6 +215,7 @@
   dependencies: IDocumentProcessDependencies,
   stateMachine: documentState.DocumentState,
   transport: grpcPeerTransport.GrpcPeerTransport,
+  closable: closableDisk.ClosableDisk,
 ): Promise<replica.Replica> {
   const { clock, random, logService } = dependencies;
   const { id, dataDir, isFirstStart } = options;
@@ -218,8 +228,7 @@
     electionTimeoutMs: ELECTION_TIMEOUT_MS,
     snapshotMinLogBytes: SNAPSHOT_MIN_LOG_BYTES,
   };
-  const folder = new privateDisk.PrivateDisk(options.diskBytes);
-  const disk = new retryOnFullDisk.RetryOnFullDisk(folder, clock, logService);
+  const disk = new retryOnFullDisk.RetryOnFullDisk(closable, clock, logService);
   return replica.Replica.open(
     { id, dataDir, members, isFirstStart, tuning },
     { clock, random, logService, stateMachine, transport, disk },
