--- a/src/gateway/EndpointTransport.ts
+++ b/src/gateway/EndpointTransport.ts
@@ -22,6 +22,9 @@
 /** See MIN_SILENCE_MS. */
 const SILENCE_LATENCY_FACTOR = 3;
 
+/** Longest wait for the result of a check, for which a retry waits. */
+const MAX_CHECK_WAIT_MS = 150;
+
 /** One HTTP request. */
 export interface IHttpCall {
   /** `ip:port` to which the request is sent. */
@@ -91,11 +94,20 @@
     return { response, cancel };
   }
 
+  /** Whether the path from this VM to an endpoint is lost, or may be because others are, as far as is known. */
+  isPathInDoubt(address: string): boolean {
+    return this.paths.isLost(address) || this.paths.hasLosses;
+  }
+
   /**
-   * Whether the path from this VM to an endpoint is lost, or may be because others are; checked if it is not known.
+   * Whether the path from this VM to an endpoint is lost, or may be because others are. Checked if it is not known, for
+   * MAX_CHECK_WAIT_MS at most.
    */
   async hasLostPath(address: string): Promise<boolean> {
-    return (await this.paths.check(address)) || this.paths.hasLosses;
+    if (!this.isPathInDoubt(address)) {
+      await Promise.race([this.paths.check(address), this.clock.sleep(MAX_CHECK_WAIT_MS)]);
+    }
+    return this.isPathInDoubt(address);
   }
 
   /** @inheritdoc */
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -309,7 +309,7 @@
         return { kind: end };
       }
       this.executions -= 1;
-      const isHealthy = await deps.caller.hasLostPath(endpoint);
+      const isHealthy = deps.caller.isPathInDoubt(endpoint);
       return { kind: 'not-run', inputsLost: false, isHealthy };
     } finally {
       subscription.dispose();
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -182,6 +182,7 @@
     cancelCount = 0;
     const caller: types.IEndpointCaller = {
       hasLostPath: async () => false,
+      isPathInDoubt: () => false,
       send: (call) => {
         calls.push(call);
         const result = reply(call);
--- a/src/gateway/RelayAgent.ts
+++ b/src/gateway/RelayAgent.ts
@@ -5,7 +5,7 @@
 import * as keepAliveAgent from './KeepAliveAgent.js';
 
 /** Timeout of a new connection through another VM. */
-const RELAY_TIMEOUT_MS = 400;
+const RELAY_TIMEOUT_MS = 300;
 
 /** Agent for connections to one endpoint that lead through other entry VMs. */
 export class RelayAgent extends keepAliveAgent.KeepAliveAgent {
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -178,6 +178,8 @@
   send(call: IEndpointCall): IStartedCall;
   /** Whether this VM has lost its own path to an endpoint, so that a failed call says nothing about the endpoint. */
   hasLostPath(endpoint: routing.IEndpoint): Promise<boolean>;
+  /** Whether this VM has lost its own path to an endpoint, or to any other, as far as is known without a check. */
+  isPathInDoubt(endpoint: routing.IEndpoint): boolean;
 }
 
 /** Collaborators of every request handler. */
--- a/src/relay/EndpointPaths.test.ts
+++ b/src/relay/EndpointPaths.test.ts
@@ -1,6 +1,7 @@
 import * as net from 'node:net';
 import * as vitest from 'vitest';
 import * as systemClock from '../common/SystemClock.js';
+import * as manualClock from '../common/testing/ManualClock.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
 import * as endpointPaths from './EndpointPaths.js';
@@ -11,6 +12,8 @@
 const CHECK_LIFETIME_MS = 600;
 /** Longer than the interval between attempts to reach an endpoint directly again. */
 const RETRY_MS = 1100;
+/** Longer than a loss casts doubt on other paths. */
+const LOSS_LIFETIME_MS = 5100;
 const clock = new systemClock.SystemClock();
 
 describe('EndpointPaths', () => {
@@ -109,6 +112,26 @@
     expect(paths.nextVia(address)).toBe('direct');
   });
 
+  test('a lost path to an address that is no longer used casts no doubt on others for long', async () => {
+    const manual = new manualClock.ManualClock();
+    const later = new endpointPaths.EndpointPaths({
+      clock: manual,
+      direct,
+      relays,
+      logService: new recordingLog.RecordingLogService(),
+      metrics: new recordingMetrics.RecordingMetricsService(),
+    });
+    direct.fault = 'refuse';
+    const check = later.check(address);
+    await vitest.vi.waitUntil(() => relays.sockets.length > 0);
+    await manual.advance(100);
+    expect(await check).toBe(true);
+    expect(later.hasLosses).toBe(true);
+    await manual.advance(LOSS_LIFETIME_MS);
+    expect(later.hasLosses).toBe(false);
+    expect(later.isLost(address)).toBe(true);
+  });
+
   test('a path stays lost while neither way shows the endpoint', async () => {
     direct.fault = 'refuse';
     await paths.check(address);
--- a/src/relay/EndpointPaths.ts
+++ b/src/relay/EndpointPaths.ts
@@ -13,6 +13,8 @@
 const CHECK_TIMEOUT_MS = 300;
 /** A new connection counts as working once it has stayed open for this long: links may accept and then reset it. */
 const HOLD_MS = 30;
+/** A lost path to an address that is no longer used says nothing of other paths after this time. */
+const LOSS_LIFETIME_MS = 5000;
 /** What is known of an address that was not used for this long is removed. */
 const RETENTION_MS = 60_000;
 
@@ -55,9 +57,10 @@
     return this.paths.get(address)?.isLost ?? false;
   }
 
-  /** Whether the path to any address is lost. */
+  /** Whether the path to any address is lost, as a check or a connection lately showed. */
   get hasLosses(): boolean {
-    return [...this.paths.values()].some(({ isLost }) => isLost);
+    const oldest = this.deps.clock.monotonic() - LOSS_LIFETIME_MS;
+    return [...this.paths.values()].some(({ isLost, checkedAt }) => isLost && checkedAt > oldest);
   }
 
   /** Whether a connection that cannot be opened directly can be opened through another VM. */
--- a/src/room/RoomKeeper.test.ts
+++ b/src/room/RoomKeeper.test.ts
@@ -150,6 +150,18 @@
     expect(isRefused('still early')).toBe(true);
   });
 
+  test('grants room to a waiting request as soon as the first of several pauses ends', async () => {
+    for (let at = 0; at < SLOTS; at++) {
+      ask(`full-${at}`, { excluded: ['e2'] });
+    }
+    ask('lost', { excluded: ['e1'] });
+    keeper.release('lost', 'lost');
+    ask('waiting', { maxWait: 900 });
+    keeper.release('full-0', 'rejected');
+    await clock.advance(510);
+    expect(grantedAt('waiting')).toBe('e2');
+  });
+
   test('grants nothing at first as a new coordinator, and counts what VMs had room for before', async () => {
     keeper.reset();
     ask('early', { maxWait: 0 });
--- a/src/room/RoomKeeper.ts
+++ b/src/room/RoomKeeper.ts
@@ -50,6 +50,11 @@
   readonly answer: (answer: types.RoomAnswer) => void;
 }
 
+interface IGrantTimer {
+  readonly subscription: commonTypes.IDisposable;
+  readonly dueAt: commonTypes.Millis;
+}
+
 interface IPause {
   readonly until: commonTypes.Millis;
   readonly losses: number;
@@ -83,7 +88,7 @@
 
   private grantsFrom: commonTypes.Millis;
 
-  private timer: commonTypes.IDisposable | undefined;
+  private timer: IGrantTimer | undefined;
 
   /** Starts without any room in use. */
   constructor(private readonly deps: IRoomKeeperDependencies) {
@@ -211,7 +216,7 @@
 
   /** @inheritdoc */
   dispose(): void {
-    this.timer?.dispose();
+    this.timer?.subscription.dispose();
     this.uses.forEach(({ timer }) => timer.dispose());
     this.refuseAll();
   }
@@ -323,9 +328,15 @@
     );
   }
 
+  /** Grants room to waiting requests after `delay`, or sooner if that is scheduled already. */
   private scheduleGrants(delay: commonTypes.Millis): void {
-    this.timer?.dispose();
-    this.timer = this.deps.clock.setTimer(delay, () => {
+    const dueAt = this.deps.clock.monotonic() + delay;
+    if (this.timer !== undefined && this.timer.dueAt <= dueAt) {
+      return;
+    }
+    this.timer?.subscription.dispose();
+    const subscription = this.deps.clock.setTimer(delay, () => {
+      this.timer = undefined;
       const services = [...this.waiting].filter(([, queue]) => queue.length > 0);
       services.forEach(([service]) => this.grantWaiting(service));
       const delays = services.map(([service]) => this.timeUntilChange(service));
@@ -333,6 +344,7 @@
         this.scheduleGrants(Math.min(...delays));
       }
     });
+    this.timer = { subscription, dueAt };
   }
 
   /** Grants room to waiting requests in order; one whose excluded endpoints are the only free ones stays. */
