--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -360,7 +360,8 @@
     const { version } = req;
     const placement = { planId, prompt: req.prompt, inputs, avoid, version };
     const placer = this.placers.get(req.service);
-    const endpoint = placer?.place(placement);
+    const mustWait = this.placementQueue.hasBefore(Coordinator.waitingPlanOf(plan));
+    const endpoint = mustWait ? undefined : placer?.place(placement);
     if (endpoint === undefined) {
       const limitDelay = placer?.limitDelay({ avoid, version }) ?? Number.POSITIVE_INFINITY;
       if (Number.isFinite(limitDelay)) {
@@ -382,11 +383,20 @@
   }
 
   private queuePlacement(planId: string, plan: IPlanState, delay: commonTypes.Millis): void {
-    const { requestId, service, priority, goalLeft } = plan.req;
+    const { requestId, service } = plan.req;
     const fields = { request: requestId, plan: planId, service, delay: Math.round(delay) };
     this.deps.logService.info('plan-waits-for-engine', fields);
-    const goalAt = plan.requestedAt + goalLeft;
-    this.placementQueue.add(planId, { service, priority, goalAt }, delay);
+    this.placementQueue.add(planId, Coordinator.waitingPlanOf(plan), delay);
+  }
+
+  private static waitingPlanOf({
+    req,
+    requestedAt,
+    avoid,
+  }: IPlanState): placementQueue.IWaitingPlan {
+    const { service, priority, goalLeft, version } = req;
+    const fitsAnyEngine = avoid.length === 0 && version === undefined;
+    return { service, priority, goalAt: requestedAt + goalLeft, fitsAnyEngine };
   }
 
   private retryPlacement(planId: string): void {
@@ -456,6 +466,7 @@
       this.latestPlanIds.delete(plan.req.requestId);
     }
     this.placers.get(plan.req.service)?.removeRequest(planId);
+    this.placementQueue.retry(plan.req.service);
     plan.job.cancel();
     this.resolvePlan(plan, {
       kind: 'refused',
--- a/src/coordination/PlacementQueue.test.ts
+++ b/src/coordination/PlacementQueue.test.ts
@@ -10,8 +10,8 @@
 let delays: number[];
 let queue: placementQueue.PlacementQueue;
 
-function plan(priority: number, goalAt: number): placementQueue.IWaitingPlan {
-  return { service: 's', priority, goalAt };
+function plan(priority: number, goalAt: number, fitsAnyEngine = true): placementQueue.IWaitingPlan {
+  return { service: 's', priority, goalAt, fitsAnyEngine };
 }
 
 beforeEach(() => {
@@ -56,3 +56,36 @@
   await clock.advance(20);
   expect(placed).toEqual(['a', 'b']);
 });
+
+test('tells whether a plan must let waiting ones go first', () => {
+  queue.add('waiting', plan(1, 200), 50);
+  expect(queue.hasBefore(plan(1, 300))).toBe(true);
+  expect(queue.hasBefore(plan(2, 100))).toBe(true);
+  expect(queue.hasBefore(plan(1, 200))).toBe(false);
+  expect(queue.hasBefore(plan(0, 300))).toBe(false);
+  expect(queue.hasBefore({ ...plan(1, 300), service: 'other' })).toBe(false);
+});
+
+test('a plan that only some engines may run holds up no other', async () => {
+  queue.dispose();
+  queue = new placementQueue.PlacementQueue(clock, (planId) => {
+    if (planId === 'bound') {
+      queue.add(planId, plan(0, 100, false), 500);
+    } else {
+      placed.push(planId);
+    }
+  });
+  queue.add('bound', plan(0, 100, false), 50);
+  expect(queue.hasBefore(plan(1, 300))).toBe(false);
+  queue.add('free', plan(1, 200), 50);
+  await clock.advance(50);
+  expect(placed).toEqual(['free']);
+});
+
+test('tries waiting plans at once when an engine has room', async () => {
+  queue.add('a', plan(1, 100), 10_000);
+  queue.retry('s');
+  queue.retry('other');
+  await clock.advance(1);
+  expect(placed).toEqual(['a']);
+});
--- a/src/coordination/PlacementQueue.ts
+++ b/src/coordination/PlacementQueue.ts
@@ -7,6 +7,8 @@
   readonly priority: number;
   /** Time, on the monotonic clock, until which the request meets its latency goal. */
   readonly goalAt: commonTypes.Millis;
+  /** Whether any engine of the service may run the request. */
+  readonly fitsAnyEngine: boolean;
 }
 
 interface IServiceTimer {
@@ -28,8 +30,18 @@
 
   /** Adds a plan; `delay` is the time until an engine of its service takes another request. */
   add(planId: string, plan: IWaitingPlan, delay: commonTypes.Millis): void {
-    const { service } = plan;
     this.plans.set(planId, plan);
+    this.schedule(plan.service, delay);
+  }
+
+  /** Tries the plans of a service soon, because an engine may have room. */
+  retry(service: string): void {
+    if ([...this.plans.values()].some((waiting) => waiting.service === service)) {
+      this.schedule(service, 0);
+    }
+  }
+
+  private schedule(service: string, delay: commonTypes.Millis): void {
     const dueAt = this.clock.monotonic() + delay;
     const present = this.timers.get(service);
     if (present !== undefined && present.dueAt <= dueAt) {
@@ -43,6 +55,16 @@
     this.timers.set(service, { dueAt, timer });
   }
 
+  /** Whether a plan that any engine may run waits and goes before `plan`, which would take its place otherwise. */
+  hasBefore(plan: IWaitingPlan): boolean {
+    return [...this.plans.values()].some(
+      (waiting) =>
+        waiting.fitsAnyEngine &&
+        waiting.service === plan.service &&
+        PlacementQueue.compare(waiting, plan) < 0,
+    );
+  }
+
   /** Removes a plan; unknown ids are ignored. */
   delete(planId: string): void {
     this.plans.delete(planId);
@@ -54,20 +76,25 @@
     this.plans.clear();
   }
 
-  /** Places plans of a service until one of them has to wait, which starts the timer again. */
+  /**
+   * Places plans of a service in order, until one that any engine may run has to wait; then no other one can be placed
+   * either. A plan that has to wait adds itself again, which starts the timer.
+   */
   private placeNext(service: string): void {
-    let next = this.mostUrgent(service);
-    while (next !== undefined && !this.timers.has(service)) {
-      this.plans.delete(next);
-      this.place(next);
-      next = this.mostUrgent(service);
+    const inOrder = [...this.plans]
+      .filter(([, plan]) => plan.service === service)
+      .sort(([, a], [, b]) => PlacementQueue.compare(a, b));
+    for (const [planId, plan] of inOrder) {
+      if (this.plans.delete(planId)) {
+        this.place(planId);
+      }
+      if (this.plans.has(planId) && plan.fitsAnyEngine) {
+        return;
+      }
     }
   }
 
-  private mostUrgent(service: string): string | undefined {
-    const [first] = [...this.plans]
-      .filter(([, plan]) => plan.service === service)
-      .sort(([, a], [, b]) => a.priority - b.priority || a.goalAt - b.goalAt);
-    return first?.[0];
+  private static compare(a: IWaitingPlan, b: IWaitingPlan): number {
+    return a.priority - b.priority || a.goalAt - b.goalAt;
   }
 }
