--- a/src/batching/StageReplica.ts
+++ b/src/batching/StageReplica.ts
@@ -106,7 +106,10 @@
     this.blockedUntil = now + backoff;
   }
 
-  /** Records a call that the endpoint refused because it had no free call slot, and pauses new calls for `minPause` at least. */
+  /**
+   * Records a call that the endpoint refused because it had no free call slot, and pauses new calls for `minPause` at
+   * least.
+   */
   recordCallRefusal(now: commonTypes.Millis, minPause: commonTypes.Millis): void {
     this.activeCalls -= 1;
     this.pauseAfterFull(now);
--- a/src/control/log/ClosableDisk.ts
+++ b/src/control/log/ClosableDisk.ts
@@ -2,8 +2,8 @@
 import type * as types from './Types.js';
 
 /**
- * A disk that can be closed while the process runs on, so that another replica can use the folder: nothing of the former one
- * reaches the disk after `close` has resolved.
+ * A disk that can be closed while the process runs on, so that another replica can use the folder: nothing of the
+ * former one reaches the disk after `close` has resolved.
  *
  * @example
  * const disk = new ClosableDisk(new NodeDisk());
--- a/src/coordination/RelayExchange.ts
+++ b/src/coordination/RelayExchange.ts
@@ -14,8 +14,8 @@
 }
 
 /**
- * The part of the feed that tells VMs which entry VMs connect them to endpoints: each gets others drawn at random, so that VMs
- * that lose their paths together use different ones.
+ * The part of the feed that tells VMs which entry VMs connect them to endpoints: each gets others drawn at random, so
+ * that VMs that lose their paths together use different ones.
  */
 export class RelayExchange implements commonTypes.IDisposable {
   private timer: commonTypes.IDisposable;
--- a/src/gateway/EndpointTransport.ts
+++ b/src/gateway/EndpointTransport.ts
@@ -13,8 +13,8 @@
 /** The same while paths are lost. */
 const DIRECT_TIMEOUT_IN_DOUBT_MS = 60;
 /**
- * A connection that was used before may be dead if it brings no response for SILENCE_LATENCY_FACTOR times the usual latency
- * of its endpoint, within these bounds; for twice as long if other connections bring responses meanwhile.
+ * A connection that was used before may be dead if it brings no response for SILENCE_LATENCY_FACTOR times the usual
+ * latency of its endpoint, within these bounds; for twice as long if other connections bring responses meanwhile.
  */
 const MIN_SILENCE_MS = 400;
 /** See MIN_SILENCE_MS. */
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -38,8 +38,8 @@
   /** The request has ended: the response is complete, or the caller or the deadline ended it. */
   | { readonly kind: 'done' }
   /**
-   * The engine did not execute the request; `inputsLost` if it reports that stage results are missing, `isHealthy` if this
-   * says nothing about its health: it names a rate limit, or this VM has lost its path to it.
+   * The engine did not execute the request; `inputsLost` if it reports that stage results are missing, `isHealthy` if
+   * this says nothing about its health: it names a rate limit, or this VM has lost its path to it.
    */
   | { readonly kind: 'not-run'; readonly inputsLost: boolean; readonly isHealthy: boolean }
   /** The response is truncated or not authentic, or it is an error response after the stream had started. */
@@ -141,13 +141,17 @@
     return refusal && { kind: 'refused', reason: 'quarantined', retryAfter: refusal.retryAfter };
   }
 
-  /** Whether a failed attempt is held against its engine, for all VMs; not if this VM has lost its path to the engine. */
+  /**
+   * Whether a failed attempt is held against its engine, for all VMs; not if this VM has lost its path to the engine.
+   */
   private async isBlamed(attempt: AttemptOutcome, endpoint: routing.IEndpoint): Promise<boolean> {
     const isBroken = attempt.kind === 'lost' || attempt.kind === 'cut';
     return isBroken && !(await this.deps.caller.hasLostPath(endpoint));
   }
 
-  /** Chooses an engine for the next attempt: under the current plan if its stage results are kept, else by a new plan. */
+  /**
+   * Chooses an engine for the next attempt: under the current plan if its stage results are kept, else by a new plan.
+   */
   private chooseNextEngine(
     attempt: AttemptOutcome,
     endpoint: routing.IEndpoint,
--- a/src/relay/EndpointPaths.ts
+++ b/src/relay/EndpointPaths.ts
@@ -36,10 +36,10 @@
 }
 
 /**
- * Knows to which endpoints this VM has lost its own path. An endpoint that does not accept a connection from here may as
- * well be gone: only a connection through another VM at the same time shows that it is not. Each address is judged by itself,
- * so that a path may be lost to a part of the endpoints only. The table holds addresses with a lost path or a check
- * within RETENTION_MS.
+ * Knows to which endpoints this VM has lost its own path. An endpoint that does not accept a connection from here may
+ * as well be gone: only a connection through another VM at the same time shows that it is not. Each address is judged
+ * by itself, so that a path may be lost to a part of the endpoints only. The table holds addresses with a lost path or
+ * a check within RETENTION_MS.
  */
 export class EndpointPaths {
   private readonly paths = new Map<string, IPath>();
@@ -69,8 +69,8 @@
   }
 
   /**
-   * Returns how to open the next connection to an address. While its path is lost, now and then starts a check whether it
-   * works again.
+   * Returns how to open the next connection to an address. While its path is lost, now and then starts a check whether
+   * it works again.
    */
   nextVia(address: string): types.Via {
     const path = this.paths.get(address);
@@ -83,7 +83,10 @@
     return 'relay';
   }
 
-  /** Checks an address to which a connection was opened through another VM; nothing happens if its path is known to be lost. */
+  /**
+   * Checks an address to which a connection was opened through another VM; nothing happens if its path is known to be
+   * lost.
+   */
   checkRelayed(address: string): void {
     if (!this.isLost(address)) {
       void this.check(address);
@@ -99,9 +102,9 @@
   }
 
   /**
-   * Finds out whether the path to an address is lost, after a connection failed or was silent: opens a direct connection;
-   * if that fails, one through another VM, and then a direct one again, since the endpoint may have started in between.
-   * Resolves with true if only the second one works. The result holds for CHECK_LIFETIME_MS.
+   * Finds out whether the path to an address is lost, after a connection failed or was silent: opens a direct
+   * connection; if that fails, one through another VM, and then a direct one again, since the endpoint may have started
+   * in between. Resolves with true if only the second one works. The result holds for CHECK_LIFETIME_MS.
    */
   async check(address: string): Promise<boolean> {
     const { clock, relays } = this.deps;
--- a/src/relay/RelayServer.ts
+++ b/src/relay/RelayServer.ts
@@ -43,8 +43,9 @@
 }
 
 /**
- * Connects other entry VMs, which have lost their path to an endpoint, to that endpoint: an HTTP proxy that serves CONNECT
- * only (RFC 9110, 9.3.6). Bytes pass unchanged, so that all decisions on a request remain with the VM that took it.
+ * Connects other entry VMs, which have lost their path to an endpoint, to that endpoint: an HTTP proxy that serves
+ * CONNECT only (RFC 9110, 9.3.6). Bytes pass unchanged, so that all decisions on a request remain with the VM that took
+ * it.
  */
 export class RelayServer implements commonTypes.IDisposable {
   private readonly server = http.createServer((_, res) => {
@@ -140,8 +141,8 @@
   }
 
   /**
-   * Passes bytes both ways until one side closes. An endpoint connection that fails resets the other side, which could take
-   * its end for the end of a complete response.
+   * Passes bytes both ways until one side closes. An endpoint connection that fails resets the other side, which could
+   * take its end for the end of a complete response.
    */
   private join(tunnel: ITunnel, endpoint: net.Socket): void {
     const { client } = tunnel;
--- a/src/room/RoomKeeper.ts
+++ b/src/room/RoomKeeper.ts
@@ -6,8 +6,8 @@
 import type * as types from './Types.js';
 
 /**
- * Time after the start of a coordinator in which it grants no room: requests that its predecessor let through may still run,
- * and their VMs may not have connected yet.
+ * Time after the start of a coordinator in which it grants no room: requests that its predecessor let through may still
+ * run, and their VMs may not have connected yet.
  */
 const START_DELAY_MS = 500;
 /** Room of a VM that has disconnected is kept this long; its requests run on, and it may connect again. */
@@ -71,8 +71,8 @@
 }
 
 /**
- * Grants room at brittle endpoints to the requests of all VMs: no endpoint gets more requests than it runs at the same time.
- * Requests wait for room while it will be free in time, the most urgent first, and are refused at once otherwise.
+ * Grants room at brittle endpoints to the requests of all VMs: no endpoint gets more requests than it runs at the same
+ * time. Requests wait for room while it will be free in time, the most urgent first, and are refused at once otherwise.
  */
 export class RoomKeeper implements types.IRoomCheck, commonTypes.IDisposable {
   private readonly uses = new Map<string, IUse>();
