Record the versions of streams in the replicated log

Cause: which version began a stream, and which versions a service had lately, was known to the coordinator and one entry VM only, in memory. A program that has just started also took the only version that it sees for the only one there was. Ruled out: lists that are old (the list was right in each case), a race of takeover (no entry VM was left to tell).

Change: the coordinator puts into the replicated log, each 0.1 s and without a wait on any request's way, all versions that a service has had in the last minute, and, while they are several, the version of each stream that can be taken up; when a second version comes, those of the last minute too. The only version of a service counts for unknown streams only where the log holds the service's versions, or the VM has watched it for a minute.

--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -7,6 +7,8 @@
 import type * as batching from '../batching/Types.js';
 import * as coordinators from '../coordination/Coordinator.js';
 import * as feedServer from '../coordination/FeedServer.js';
+import * as streamRecorder from '../coordination/StreamRecorder.js';
+import * as streamVersions from '../coordination/StreamVersions.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import * as endpointPoller from '../routing/EndpointPoller.js';
 import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
@@ -14,7 +16,8 @@
 import * as roomKeeper from '../room/RoomKeeper.js';
 import type * as routing from '../routing/Types.js';
 import * as documentService from './document/DocumentService.js';
-import * as documentState from './document/DocumentState.js';
+import type * as documentState from './document/DocumentState.js';
+import * as sharedState from './document/SharedState.js';
 import * as groupManager from './group/GroupManager.js';
 import * as groupMonitor from './group/GroupMonitor.js';
 import * as closableDisk from './log/ClosableDisk.js';
@@ -113,7 +116,10 @@
       'grpc.max_send_message_length': 2 * MAX_DOCUMENT_BYTES,
     });
     disposables.add({ dispose: () => server.forceShutdown() });
-    const state = disposables.add(new documentState.DocumentState());
+    const streams = disposables.add(new streamVersions.StreamVersions(clock));
+    const shared = disposables.add(new sharedState.SharedState(streams));
+    shared.onUnknownRecord((index) => logService.warn('log-record-unknown', { index }));
+    const state = shared.document;
     const transport = new grpcPeerTransport.GrpcPeerTransport(
       server,
       grpc.credentials.createInsecure(),
@@ -121,7 +127,7 @@
     );
     disposables.add(transport);
     const disk = new closableDisk.ClosableDisk(new privateDisk.PrivateDisk(options.diskBytes));
-    const log = await openLog(options, dependencies, state, transport, disk);
+    const log = await openLog(options, dependencies, shared, transport, disk);
     disposables.add(log);
     const directory = new endpointDirectory.EndpointDirectory();
     const { stageCaller: caller, metrics, rateLimitTable: limits, crashConfirmer } = dependencies;
@@ -140,6 +146,7 @@
         if (leads) {
           rateLimiter.reset();
           rooms.reset();
+          streams.renewLogged();
         }
       }),
     );
@@ -155,6 +162,7 @@
         rateLimiter,
         rooms,
         rejectionLimits,
+        streams,
         blameTable: crashes,
         crashConfirmer,
         admitsTrials: true,
@@ -180,6 +188,17 @@
         onRelays: dependencies.onRelays,
       }),
     );
+    const recorder = disposables.add(
+      new streamRecorder.StreamRecorder({
+        clock,
+        log,
+        streams,
+        logService,
+        metrics,
+        isActive: () => log.status().role === 'leader' && state.current !== undefined,
+      }),
+    );
+    recorder.start();
     const { address, seeds } = options;
     const group = { log, clock, logService, address, seeds };
     disposables.add(new groupManager.GroupManager(server, group, onRemoved));
@@ -213,7 +232,7 @@
 function openLog(
   options: IDocumentProcessOptions,
   dependencies: IDocumentProcessDependencies,
-  stateMachine: documentState.DocumentState,
+  stateMachine: sharedState.SharedState,
   transport: grpcPeerTransport.GrpcPeerTransport,
   closable: closableDisk.ClosableDisk,
 ): Promise<replica.Replica> {
--- a/src/control/document/DocumentState.ts
+++ b/src/control/document/DocumentState.ts
@@ -71,7 +71,8 @@
   /** @inheritdoc */
   restore(snapshot: Uint8Array): void {
     if (snapshot.length > 0) {
-      this.replace(JSON.parse(Buffer.from(snapshot).toString('utf8')) as IDocument);
+      const { version, text } = JSON.parse(Buffer.from(snapshot).toString('utf8')) as IDocument;
+      this.replace({ version, text });
     }
   }
 
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -14,7 +14,7 @@
 import * as planVersions from './PlanVersions.js';
 import * as planQuarantine from './PlanQuarantine.js';
 import * as resultReleaser from './ResultReleaser.js';
-import type * as streamVersions from './StreamVersions.js';
+import * as streamVersions from './StreamVersions.js';
 import type * as types from './Types.js';
 
 /** Components that a coordinator uses. */
@@ -26,6 +26,8 @@
   readonly rooms?: rooms.IRoomCheck;
   /** Rejections in a second that endpoints bear; absent if none names a limit. */
   readonly rejectionLimits?: rateLimitTable.RateLimitTable;
+  /** Software versions that began the streams of requests; absent if nothing else records them. */
+  readonly streams?: streamVersions.StreamVersions;
 }
 
 interface IPlanState {
@@ -80,7 +82,12 @@
   /** Creates a coordinator that serves requests once `configure` has been called. */
   constructor(private readonly deps: ICoordinatorDependencies) {
     this.rooms = deps.rooms ?? new unboundedRoom.UnboundedRoom();
-    this.versions = new planVersions.PlanVersions(deps.clock, deps.directory);
+    this.versions = new planVersions.PlanVersions(
+      deps.clock,
+      deps.directory,
+      (service) => this.placers.has(service),
+      deps.streams ?? new streamVersions.StreamVersions(deps.clock),
+    );
     this.subscription = deps.directory.onChange(() => this.updateServices());
     this.releaser = new resultReleaser.ResultReleaser(deps, (service) =>
       this.schedulers.get(service)?.scheduleDispatch(0),
@@ -131,7 +138,7 @@
     req: types.IPlanRequest,
     onResult: types.ResultListener,
   ): Promise<types.PlanOutcome> {
-    if (!(await this.versions.waitForNews(req.planId))) {
+    if (!(await this.versions.waitForNews(req))) {
       return { kind: 'refused', reason: 'lost', retryAfter: planAdmission.MIN_RETRY_AFTER_MS };
     }
     const version = this.versions.versionFor(req);
@@ -293,7 +300,6 @@
 
   private updateServices(): void {
     const { directory, clock, rateLimiter } = this.deps;
-    this.versions.recordListed();
     this.routingTable?.services.forEach(({ name, batch, engine }) => {
       if (batch !== undefined) {
         const scheduler =
@@ -309,6 +315,7 @@
         placer.updateEndpoints(directory.ready(name), engine);
       }
     });
+    this.versions.recordListed();
   }
 
   /**
@@ -374,7 +381,7 @@
       return;
     }
     this.quarantine.recordPlaced(req, endpoint);
-    this.versions.streams.record(req.requestId, endpoint.version ?? '');
+    this.versions.recordPlaced(req, endpoint.version ?? '');
     this.resolvePlan(plan, {
       kind: 'ready',
       endpoint,
--- a/src/coordination/CoordinatorVersions.test.ts
+++ b/src/coordination/CoordinatorVersions.test.ts
@@ -130,7 +130,7 @@
 
   it('leaves out streams that it cannot read, and keeps later knowledge', () => {
     const { streams } = coordinator;
-    streams.record('first', 'v1');
+    streams.record({ requestId: 'first', version: 'v1' });
     streams.merge([
       { requestId: 'first', version: 'v2', age: 5000 },
       { requestId: 7, version: 'v2', age: 0 } as never,
--- a/src/coordination/PlanVersions.ts
+++ b/src/coordination/PlanVersions.ts
@@ -1,26 +1,26 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
-import * as streamVersions from './StreamVersions.js';
+import type * as streamVersions from './StreamVersions.js';
 import type * as types from './Types.js';
 
-/** Wait for entry VMs to tell a new coordinator which version began a stream. */
+/** Wait for entry VMs and the replicated log to tell a new coordinator which version began a stream. */
 export const VERSION_WAIT_MS = 300;
+/** Interval at which a plan checks whether the version of its stream is known. */
+const CHECK_INTERVAL_MS = 20;
 
 /** Decides which software version the engine of a plan must have, because a stream that has begun continues there. */
 export class PlanVersions {
-  /** Software versions that began the streams of requests. */
-  readonly streams: streamVersions.StreamVersions;
-
   /** Ids of plans that wait until the version of their stream is known. */
   private readonly waiting = new Set<string>();
 
-  /** Takes the versions that services have from `directory`. */
+  /** Takes the versions that services have from `directory`; `hasEngines` tells the services whose versions matter. */
   constructor(
     private readonly clock: commonTypes.IClock,
     private readonly directory: endpointDirectory.EndpointDirectory,
-  ) {
-    this.streams = new streamVersions.StreamVersions(clock);
-  }
+    private readonly hasEngines: (service: string) => boolean,
+    /** Software versions that began the streams of requests. */
+    readonly streams: streamVersions.StreamVersions,
+  ) {}
 
   /** Whether a request continues a stream whose version is not known. */
   mustWait(req: types.IPlanRequest): boolean {
@@ -36,11 +36,23 @@
     return this.streams.versionOf(continuedId, service);
   }
 
-  /** Waits for news of a stream; resolves with false if the plan is cancelled meanwhile. */
-  async waitForNews(planId: string): Promise<boolean> {
-    this.waiting.add(planId);
-    await this.clock.sleep(VERSION_WAIT_MS);
-    return this.waiting.delete(planId);
+  /** Waits for news of a request's stream; resolves with false if the plan is cancelled meanwhile. */
+  async waitForNews(req: types.IPlanRequest): Promise<boolean> {
+    const endsAt = this.clock.monotonic() + VERSION_WAIT_MS;
+    this.waiting.add(req.planId);
+    while (
+      this.clock.monotonic() < endsAt &&
+      this.waiting.has(req.planId) &&
+      this.versionFor(req) === undefined
+    ) {
+      await this.clock.sleep(CHECK_INTERVAL_MS);
+    }
+    return this.waiting.delete(req.planId);
+  }
+
+  /** Records the engine to which a request is sent. */
+  recordPlaced({ requestId, service, isResumable }: types.IPlanRequest, version: string): void {
+    this.streams.record({ requestId, version, service, isResumable });
   }
 
   /** Ends the wait of a plan; unknown ids are ignored. */
@@ -58,8 +70,13 @@
 
   /** Records the versions that services have now. */
   recordListed(): void {
-    this.directory.current.endpoints.forEach(({ service, version = '' }) =>
-      this.streams.recordListed(service, version),
-    );
+    const versionsByService = new Map<string, Set<string>>();
+    this.directory.current.endpoints
+      .filter(({ service }) => this.hasEngines(service))
+      .forEach(({ service, version = '' }) => {
+        const versions = versionsByService.get(service) ?? new Set();
+        versionsByService.set(service, versions.add(version));
+      });
+    versionsByService.forEach((versions, service) => this.streams.recordListed(service, versions));
   }
 }
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -36,6 +36,8 @@
    * names none.
    */
   readonly continuedId?: string | undefined;
+  /** Whether the caller may continue the stream by another request; absent means that it may. */
+  readonly isResumable?: boolean;
   /** Ids of engines that failed this request. */
   readonly avoid: readonly string[];
   /** Id of the plan that this one replaces, because that plan was lost or failed. */
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -191,6 +191,7 @@
       prompt,
       version: this.version,
       continuedId: this.version === undefined ? this.continuedId : undefined,
+      isResumable: route.resumable,
       avoid,
       replaces,
       held: [],
@@ -265,7 +266,8 @@
     this.executions += 1;
     const { version = '' } = endpoint;
     if (!this.relay.hasForwarded) {
-      deps.streams.record(scope.request.id, version);
+      const { request, service } = scope;
+      deps.streams.record({ requestId: request.id, version, service });
     }
     const started = deps.clock.monotonic();
     const call = deps.caller.send(this.buildCall(endpoint, inputs));
