Let streams that are taken up go before new requests

Their service had twice its usual load.

Cause: a request that continues a stream was admitted and queued like a new one with the goal of a first event, which its caller has had long ago; under load each of the few places went to a request that had come a moment earlier, and after three refusals the caller gave up. Within an answer it was worse: no time was left until the goal. Ruled out: versions (none is unknown any more), engines (their version had eight).

--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -9,6 +9,7 @@
 import type * as rooms from '../room/Types.js';
 import * as unboundedRoom from '../room/UnboundedRoom.js';
 import type * as routing from '../routing/Types.js';
+import * as continuedStream from './ContinuedStream.js';
 import * as placementQueue from './PlacementQueue.js';
 import * as planAdmission from './PlanAdmission.js';
 import * as planVersions from './PlanVersions.js';
@@ -126,9 +127,10 @@
 
   /** @inheritdoc */
   plan(
-    req: types.IPlanRequest,
+    planned: types.IPlanRequest,
     onResult: types.ResultListener = () => {},
   ): Promise<types.PlanOutcome> {
+    const req = continuedStream.prioritizeContinued(planned);
     return this.versions.mustWait(req)
       ? this.planOnceVersionKnown(req, onResult)
       : this.startPlan({ ...req, version: this.versions.versionFor(req) }, onResult);
