--- a/bench/stages/Stages.test.ts
+++ b/bench/stages/Stages.test.ts
@@ -11,6 +11,10 @@
 const MAX_WASTED = 0.05;
 const MAX_FULL = 0.01;
 const LEAST_AT_ONCE = 0.95;
+/** Target of the requests answered within their goal while the stages have room for all. */
+const LEAST_IN_TIME = 0.95;
+/** Largest difference by which a kind may be served less often than a less urgent one. */
+const MAX_BEHIND = 0.05;
 /** Target of the bytes of results that cross availability zones on the sheets' load. */
 const MAX_CROSSING = 0.2;
 /** The grown deployments have about three times the stage endpoints. */
@@ -23,6 +27,33 @@
   return { atOnce, all: atOnce + later };
 }
 
+describe.each(scenarios.SCENARIOS)('$name under its usual load', (scenario) => {
+  test('is served in time, long chains of stages too', async () => {
+    const calm = scenarios.loaded(scenario, 1);
+    const ours = await new play.Play(calm, SEED, play.makeCoordinator).run();
+    ours.kinds.forEach(({ kind, inTime, asked }) => {
+      expect(inTime / asked, kind).toBeGreaterThanOrEqual(LEAST_IN_TIME);
+    });
+  });
+});
+
+describe.each(scenarios.LARGE_SCENARIOS)('$name under its usual load', (scenario) => {
+  test('serves urgent kinds as often as less urgent ones', async () => {
+    const calm = scenarios.loaded(scenario, 1);
+    const ours = await new play.Play(calm, SEED, play.makeCoordinator).run();
+    const shares = calm.kinds
+      .map(({ priority }, at) => ({ priority, got: ours.kinds[at] as types.IKindResult }))
+      .map(({ priority, got }) => ({ priority, served: (got.inTime + got.late) / got.asked }));
+    shares.forEach(({ priority, served }) => {
+      const lessUrgent = shares.filter((other) => other.priority > priority);
+      lessUrgent.forEach((other) => {
+        expect(served).toBeGreaterThanOrEqual(other.served - MAX_BEHIND);
+      });
+      expect(served).toBeGreaterThanOrEqual(LEAST_IN_TIME);
+    });
+  });
+});
+
 describe.each(scenarios.SCENARIOS)('$name on its day', (scenario) => {
   // KNOWN-RED.txt, 7: runs with ANVILDECK_KNOWN_RED=1.
   test.skipIf(!showsRed)('moves few results between availability zones', async () => {
--- a/bench/stages/scenarios.ts
+++ b/bench/stages/scenarios.ts
@@ -13,11 +13,12 @@
   items: number,
   itemCost: number,
   roomMb: number,
+  callCost = CALL_COST_MS,
 ): types.IStageService {
   const limits: routing.IBatchLimits = {
     maxConcurrentCalls: 1,
     maxItemsPerCall: items,
-    callCost: CALL_COST_MS,
+    callCost,
     itemCost,
     resultCapacityBytes: roomMb * MB,
     resultRetention: RESULT_LIFE_MS,
@@ -174,6 +175,99 @@
   ],
 };
 
+const rotaCall = 150;
+const crewItems = draw(16, 0.4, 40);
+
+const rotaGrown: types.IScenario = {
+  name: 'rota grown',
+  zones: 3,
+  engines: 62,
+  lengthMs: LENGTH_MS,
+  bursts: [
+    { kind: 'season-plan', fromMs: 6000, untilMs: 11_600, factor: 2.2 },
+    { kind: 'incident-summary', fromMs: 17_000, untilMs: 22_900, factor: 2.2 },
+  ],
+  services: [
+    service('registry', 13, 14, 9.2, 81, rotaCall),
+    service('notices', 11, 59, 2.20678, 10.4677, rotaCall),
+    service('log', 11, 98, 1.27347, 1.73542, rotaCall),
+  ],
+  kinds: [
+    {
+      name: 'season-plan',
+      perSecond: 132,
+      goalMs: 705,
+      deadlineMs: 6131,
+      worth: 3.2,
+      lateWorth: 0.48,
+      priority: 1,
+      stages: [stage('registry', 3_000_000)],
+      items: [draw(2.5, 0.6, 10, 0.7)],
+      tokens: 2890,
+      sharedTokens: 6300,
+      subjects: 1933,
+      runMs: 150,
+    },
+    {
+      name: 'incident-summary',
+      perSecond: 151,
+      goalMs: 1308,
+      deadlineMs: 5031,
+      worth: 1.8,
+      lateWorth: 0.27,
+      priority: 0,
+      stages: [stage('registry', 8000), stage('notices', 60_000, [0]), stage('log', 6000, [1])],
+      items: [small, draw(8), crewItems],
+      tokens: 1800,
+      sharedTokens: 568,
+      subjects: 2223,
+      runMs: 150,
+    },
+    {
+      name: 'crew-chat',
+      perSecond: 20.5,
+      goalMs: 1306,
+      deadlineMs: 15_074,
+      worth: 2.3,
+      lateWorth: 0.34,
+      priority: 2,
+      stages: [
+        stage('registry', 3_000_000),
+        stage('registry', 8000),
+        stage('notices', 60_000, [1]),
+        stage('log', 6000, [2]),
+      ],
+      items: [draw(1.5, 0.6, 6, 0.4), small, draw(8), crewItems],
+      tokens: 543,
+      sharedTokens: 172,
+      subjects: 200,
+      runMs: 600,
+    },
+  ],
+};
+
+const kalinawLarge: types.IScenario = {
+  ...kalinaw,
+  name: 'kalinaw large',
+  zones: 6,
+  engines: 82,
+  bursts: [],
+  services: [
+    service('portal', 24, 8, 26, 9.6),
+    service('desk', 24, 16, 13, 1.8),
+    service('export', 29, 20, 10, 0.22),
+  ],
+  kinds: kalinaw.kinds.map((kind, at) => ({
+    ...kind,
+    perSecond: [52.1, 31.7, 77.3][at] as number,
+    goalMs: [1419, 2008, 2010][at] as number,
+    subjects: [584, 533, 1304][at] as number,
+  })),
+};
+
+/** The larger deployments on a day without bursts of load but those named. */
+export const LARGE_SCENARIOS: readonly types.IScenario[] = [rotaGrown, kalinawLarge];
+
 /** The deployments with the bursts of a day. */
 export const SCENARIOS: readonly types.IScenario[] = [kalinaw, norrsken];
 
