--- a/src/coordination/StreamVersions.ts
+++ b/src/coordination/StreamVersions.ts
@@ -3,7 +3,7 @@
 import type * as commonTypes from '../common/Types.js';
 
 /** Longer than a caller takes a stream up after it has begun. */
-export const RETENTION_MS = 60_000;
+const RETENTION_MS = 60_000;
 /** Maximum number of streams; the oldest yield. */
 const MAX_STREAMS = 50_000;
 /** Maximum number of streams that are told another VM, the latest first. */
