--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -21,6 +21,7 @@
 import * as types from './Types.js';
 
 const { beforeEach, describe, expect, test } = vitest;
+const showsRed = process.env.ANVILDECK_KNOWN_RED === '1';
 
 /** Permits for endpoints whose limits a test sets: the number of permits left, or none for an unlimited endpoint. */
 class FakePermits implements rateLimits.IPermitService {
@@ -146,6 +147,7 @@
 
 describe('Gateway', () => {
   let clock: virtualClock.VirtualClock;
+  let isConfirmed: boolean;
   let gateway: gateways.Gateway;
   let calls: types.IEndpointCall[];
   let cancelCount: number;
@@ -216,6 +218,7 @@
       markStarted: (planId, isSuccess) => startedPlans.push(`${planId} ${isSuccess}`),
       markEnded: (planId, failed) => failedEngines.push(failed),
     };
+    isConfirmed = true;
     const limits = { ratio: 0.2, window: 10_000, slack: 100 };
     permits = new FakePermits();
     crashes = blame.makeTable(clock);
@@ -250,6 +253,7 @@
       logService: log,
       metrics,
       entryVmCount: () => 1,
+      isConfigurationCurrent: () => isConfirmed,
     });
     directory.replace({ revision: 1, endpoints: [endpoint('e1'), endpoint('e2'), endpoint('e3')] });
     gateway.configure({
@@ -728,6 +732,37 @@
     });
   });
 
+  describe('while a newer configuration may be in force elsewhere', () => {
+    const workspaces = [{ name: 'w', keys: ['known'] }];
+
+    beforeEach(() => {
+      const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
+      const services = new Map([['s', { name: 's', maxConnections: 10 }]]);
+      const routes = [{ ...ROUTE, isPublic: false }];
+      gateway.configure({ version: 3, routes, services, limits, workspaces });
+      reply = () => answerOf(200, 'ok');
+    });
+
+    // KNOWN-RED.txt, 31: runs with ANVILDECK_KNOWN_RED=1.
+    test.skipIf(!showsRed).each([
+      ['an unknown route', '/added/x', 'known', 'no-route'],
+      ['an unknown key', '/read/x', 'added', 'bad-key'],
+    ])('does not deny a request with %s for good', async (_, target, apiKey, denial) => {
+      isConfirmed = false;
+      const refused = await request(target, 0, { apiKey });
+      expect(refused.outcome).toBe('config-unconfirmed');
+      expect(refused.retryAfter).toBeGreaterThan(0);
+      isConfirmed = true;
+      expect((await request(target, 0, { apiKey })).outcome).toBe(denial);
+      expect(calls).toHaveLength(0);
+    });
+
+    test('serves the requests that its own configuration allows', async () => {
+      isConfirmed = false;
+      expect((await request('/read/x', 2000, { apiKey: 'known' })).outcome).toBe('200');
+    });
+  });
+
   test('ignores a configuration that is older than the one in force', () => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
     gateway.configure({ version: 1, routes: [], services: new Map(), limits });
