Answer 503, not 404 or 401, from an entry whose configuration may be old

An entry without the control group told callers that a pipeline or a key that had been declared since does not exist. Change: unknown pipelines, services, methods and keys are denied only while the entry's lease is valid and names no newer version; otherwise 'not-ready' (503) with Retry-After.

--- a/src/entry/EntryApp.test.ts
+++ b/src/entry/EntryApp.test.ts
@@ -119,6 +119,20 @@
     ],
   ];
 
+  vitest.it.each(refusals.filter(([name]) => /^(unknown (?!path)|wrong)/.test(name)))(
+    'does not deny a request for good while a newer configuration may be in force: %s',
+    async (name, status, code, sendRequest) => {
+      harness.configuration.isCurrent = false;
+      const res = await sendRequest();
+      const { error } = (await res.json()) as IErrorBody;
+      const isFixedPath = name === 'wrong method';
+      vitest
+        .expect([res.status, error.code, error.run])
+        .toEqual(isFixedPath ? [status, code, 'not-run'] : [503, 'not-ready', 'not-run']);
+      vitest.expect(res.headers.has('retry-after')).toBe(!isFixedPath);
+    },
+  );
+
   vitest.it.each(refusals)(
     'refuses a request as not run: %s',
     async (name, status, code, sendRequest) => {
--- a/src/entry/RequestService.ts
+++ b/src/entry/RequestService.ts
@@ -27,6 +27,14 @@
   readonly recorder: requestRecorder.RequestRecorder;
 }
 
+/** Denials that a newer configuration may lift. */
+const CONFIGURED_DENIALS: ReadonlySet<string> = new Set([
+  'bad-key',
+  'unknown-pipeline',
+  'unknown-service',
+  'method-not-allowed',
+]);
+
 /** Lookup tables built from one configuration. */
 interface ILookupTables {
   readonly version: number;
@@ -70,6 +78,25 @@
         retryAfter: NOT_READY_RETRY_MS,
       });
     }
+    try {
+      return this.acceptUnder(request, tables);
+    } catch (err) {
+      throw this.isFinal(err) ? err : unconfirmed(err as requestError.RequestError);
+    }
+  }
+
+  /** Whether an error holds under any configuration that may be in force. */
+  private isFinal(err: unknown): boolean {
+    return (
+      this.configuration.isCurrent ||
+      !(err instanceof requestError.RequestError && CONFIGURED_DENIALS.has(err.code))
+    );
+  }
+
+  private acceptUnder(
+    request: httpServices.ICallerRequest,
+    tables: ILookupTables,
+  ): httpServices.IAcceptedRequest {
     const workspace = tables.authenticator.workspaceOf(request.authorization);
     const { route } = request;
     return pattern
@@ -199,3 +226,12 @@
     .with({ kind: 'embeddings' }, () => 'embedding')
     .otherwise(() => 'pipeline');
 }
+
+/** Replaces a denial by a configuration that may be old: the caller is to come back. */
+function unconfirmed(denial: requestError.RequestError): requestError.RequestError {
+  const message = `this VM may hold an old configuration, by which: ${denial.message}`;
+  return new requestError.RequestError('not-ready', message, {
+    run: 'not-run',
+    retryAfter: NOT_READY_RETRY_MS,
+  });
+}
--- a/src/entry/services/ConfigurationService.test.ts
+++ b/src/entry/services/ConfigurationService.test.ts
@@ -55,7 +55,11 @@
 ) {
   const feed = new FakeFeed();
   const reported: number[] = [];
-  const lease = { reportVersion: (version: number) => reported.push(version) };
+  const lease = {
+    reportVersion: (version: number) => reported.push(version),
+    held: true,
+    newestVersion: 0,
+  };
   const service = new configurationService.ConfigurationService(
     feed as unknown as controlFeed.ControlFeed,
     lease as unknown as entryLease.EntryLease,
@@ -63,7 +67,7 @@
     file,
     peers,
   );
-  return { feed, reported, service };
+  return { feed, lease, reported, service };
 }
 
 describe('ConfigurationService', () => {
@@ -79,6 +83,19 @@
     expect(reported).toEqual([4, 5]);
   });
 
+  it('knows that it holds the newest version only while its lease is valid and names no newer one', () => {
+    const { feed, lease, service } = start();
+    expect(service.isCurrent).toBe(false);
+    feed.full(4, TEXT);
+    expect(service.isCurrent).toBe(true);
+    lease.newestVersion = 5;
+    expect(service.isCurrent).toBe(false);
+    feed.delta(4, 5, TEXT, NEXT_TEXT);
+    expect(service.isCurrent).toBe(true);
+    lease.held = false;
+    expect(service.isCurrent).toBe(false);
+  });
+
   it('requests the full state when a delta has another base version', () => {
     const { feed, service } = start();
     feed.full(4, TEXT);
--- a/src/entry/services/ConfigurationService.ts
+++ b/src/entry/services/ConfigurationService.ts
@@ -65,6 +65,11 @@
     return this.configuration !== undefined && this.confirmed;
   }
 
+  /** @inheritdoc */
+  get isCurrent(): boolean {
+    return this.ready && this.lease.held && this.version >= this.lease.newestVersion;
+  }
+
   /** Configuration in force with its text, for peers that start without the control group. */
   get held(): Held | undefined {
     return this.configuration === undefined
--- a/src/entry/services/EntryLease.ts
+++ b/src/entry/services/EntryLease.ts
@@ -29,6 +29,8 @@
 
   private versionInForce = 0;
 
+  private announcedVersion = 0;
+
   private heldUntil = 0;
 
   private reachable = false;
@@ -58,6 +60,11 @@
     return this.clock.monotonic() < this.heldUntil;
   }
 
+  /** Newest configuration version that the control group named with a renewal; 0 before the first. */
+  get newestVersion(): number {
+    return this.announcedVersion;
+  }
+
   /** Reports the configuration version in force without waiting for the next heartbeat. */
   reportVersion(version: number): void {
     this.versionInForce = version;
@@ -102,6 +109,7 @@
     try {
       const { lease, currentVersion } = await this.sendHeartbeat(false);
       this.heldUntil = sent + lease;
+      this.announcedVersion = currentVersion;
       this.setReachable(true);
       this.renewedEmitter.fire(currentVersion);
     } catch (err) {
--- a/src/entry/services/Services.ts
+++ b/src/entry/services/Services.ts
@@ -9,6 +9,8 @@
   readonly current: configTypes.IConfiguration | undefined;
   /** Whether the control group confirmed `current`, or it is the newest version among the peers. */
   readonly ready: boolean;
+  /** Whether the control group has lately named no newer version than `current`. */
+  readonly isCurrent: boolean;
   /** Fires on each newer configuration. */
   readonly onChange: commonTypes.IEvent<configTypes.IConfiguration>;
 }
--- a/src/entry/testing/StaticConfigurationService.ts
+++ b/src/entry/testing/StaticConfigurationService.ts
@@ -12,6 +12,9 @@
   /** @inheritdoc */
   ready = true;
 
+  /** @inheritdoc */
+  isCurrent = true;
+
   /** `current` is the initial configuration. */
   constructor(public current: configTypes.IConfiguration | undefined) {}
 
