Bound the idle timeout that an endpoint announces

An endpoint that announced a Keep-Alive timeout of 400 digits ended the process: Node's setTimeout throws for Infinity, inside an event of the agent, which nothing catches. From 25 days on (2^31 ms) Node warned and the timer was short by luck only of its own clamp.

Cause: the number of a header went to a timer unbounded. Connections are now kept idle for a minute at most, as long as EndpointAgents keeps an unused agent.

Before, src/gateway/KeepAliveAgent.test.ts: RangeError: The value of "msecs" is out of range. It must be a non-negative finite number. Received Infinity at KeepAliveAgent.keepSocketAlive Tests 3 failed | 2 passed, 2 unhandled errors After: 5 passed.

--- a/src/gateway/KeepAliveAgent.test.ts
+++ b/src/gateway/KeepAliveAgent.test.ts
@@ -85,3 +85,33 @@
   agent.destroy();
   server.close();
 });
+
+test.each([7, 11, 400])(
+  'an idle timeout too large for a timer does not end the process: %i digits',
+  async (digits) => {
+    const seconds = '9'.repeat(digits);
+    const server = http.createServer((req, res) => {
+      res.setHeader('Keep-Alive', `timeout=${seconds}`);
+      res.end('ok');
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const agent = new keepAliveAgent.KeepAliveAgent(1);
+    const sockets = new Set<net.Socket>();
+    const warnings: string[] = [];
+    const record = ({ name }: Error): number => warnings.push(name);
+    process.on('warning', record);
+    const ends = [await get(server, agent, sockets)];
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    ends.push(await get(server, agent, sockets));
+    process.off('warning', record);
+    expect(ends).toEqual(['whole', 'whole']);
+    expect(sockets.size).toBe(1);
+    expect(warnings).toEqual([]);
+    agent.destroy();
+    server.close();
+  },
+);
--- a/src/gateway/KeepAliveAgent.ts
+++ b/src/gateway/KeepAliveAgent.ts
@@ -7,6 +7,8 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 400;
 /** Connections are closed this long before the endpoint would close them, to avoid a race with a new request. */
 const CLOSE_MARGIN_MS = 500;
+/** Longest time for which an idle connection is kept; endpoints may announce more than a timer can hold. */
+const MAX_IDLE_TIMEOUT_MS = 60_000;
 /** Idle time before TCP keep-alive probes start, which detect dead connections. */
 const TCP_KEEP_ALIVE_DELAY_MS = 1000;
 /** Matches the `timeout` parameter, in seconds, of a Keep-Alive header. */
@@ -70,6 +72,6 @@
     const seconds = TIMEOUT_PARAMETER.exec(String(header ?? ''))?.[1];
     return seconds === undefined
       ? DEFAULT_IDLE_TIMEOUT_MS
-      : Number(seconds) * 1000 - CLOSE_MARGIN_MS;
+      : Math.min(MAX_IDLE_TIMEOUT_MS, Number(seconds) * 1000 - CLOSE_MARGIN_MS);
   }
 }
