Tell answers that an endpoint writes once more from those of the next call

A faulty replica that wrote an earlier answer once more on a kept connection was believed in five cases: - A refusal without an id (503, 429, 421) was read as that of the next request on the connection. Its caller got 503, "not run", for a request that ran, or the request went to a second replica. - So was a refusal with the id when the same request was sent once more on the connection, as after a 421 of the replica's predecessor. - A stage call has no id at all. A copied 503 was read as the refusal of the next call, whose items then ran twice. - Copied results, or results that came while the next call had been written, were taken for those of another call: handles of one request became the inputs of another. This needs one copy only, since every later answer on the connection is then read one call too late. - Copied failures of items ("room") were read as failures of other items.

Cause: an answer was matched to its call by its place on the connection; only an id of another request ruled it out. Ruled out: copies in the packet of the first answer and on an idle connection. Node destroys the socket at a second response to one request, and KeepAliveAgent at unsolicited data; these cases passed before, except where the next call was written at once.

Now a refusal counts if it carries the request's id, and the request was not refused on this connection before, or if it is the first answer on its connection. A connection is closed after an answer whose copy could not be told apart: one without the request's id, a stage call's answer other than 200, unreadable, or without any handle.

Why not a new connection for each stage call: connections are priced; this costs one after a refusal.

Before, platform/RepeatedAnswers.test.ts: 19 failed, 30 passed, among them AssertionError: expected { status: 503, headers: [], ... } to not match object { isNotRun: true } AssertionError: expected 'full: replica at capacity' to deeply equal [ { handle: 'h1' } ] AssertionError: expected [ { handle: 'h0' } ] to deeply equal [ { handle: 'h1' } ] AssertionError: expected [ { failure: 'room' } ] to deeply equal [ { handle: 'h1' } ] After: 49 passed.

--- a/src/gateway/EndpointTransport.ts
+++ b/src/gateway/EndpointTransport.ts
@@ -1,4 +1,5 @@
 import * as http from 'node:http';
+import type * as stream from 'node:stream';
 import type * as commonTypes from '../common/Types.js';
 import type * as endpointPaths from '../relay/EndpointPaths.js';
 import * as relay from '../relay/Types.js';
@@ -40,6 +41,12 @@
 export interface IHttpResponse {
   readonly res: http.IncomingMessage;
   readonly via: relay.Via;
+  /** The connection on which it arrived. */
+  readonly connection: stream.Duplex;
+  /** Whether the connection brought no response before, so that this one can belong to no earlier request. */
+  readonly isFirst: boolean;
+  /** Closes the connection once the response is read; no other request is sent on it. */
+  retireConnection(): void;
 }
 
 /** A request in progress. */
@@ -57,6 +64,9 @@
 export class EndpointTransport implements commonTypes.IDisposable {
   private readonly subscription: commonTypes.IDisposable;
 
+  /** Connections that have brought a response. */
+  private readonly usedConnections = new WeakSet<stream.Duplex>();
+
   /** Time, on the monotonic clock, of the last response of an endpoint over a direct connection. */
   private directResponseAt = Number.NEGATIVE_INFINITY;
 
@@ -189,12 +199,28 @@
         }
         // Readers of the body receive its errors; without a reader, an unhandled error must not end the process.
         res.on('error', () => {});
-        resolve({ res, via });
+        resolve({ res, via, ...this.recordUse(req, res) });
       });
       req.end(call.body);
     });
   }
 
+  private recordUse(
+    req: http.ClientRequest,
+    res: http.IncomingMessage,
+  ): Omit<IHttpResponse, 'res' | 'via'> {
+    const { socket: connection } = res;
+    const isFirst = !this.usedConnections.has(connection);
+    this.usedConnections.add(connection);
+    const retireConnection = (): void => {
+      Object.assign(req, { shouldKeepAlive: false });
+      if (res.readableEnded) {
+        connection.destroy();
+      }
+    };
+    return { connection, isFirst, retireConnection };
+  }
+
   private silenceLimit(address: string): commonTypes.Millis {
     const usual = this.agents.latencyOf(address) ?? 0;
     return Math.min(MAX_SILENCE_MS, Math.max(MIN_SILENCE_MS, SILENCE_LATENCY_FACTOR * usual));
