Go on with a stream only from an answer that continues it

A stream had begun and broke off, and the next engine answered with something else. Callers found it in the middle of their stream, or the stream ended as if it were whole: - Status 204, 205 or an empty body of another type ended the stream as whole. - A page or text with a success status was forwarded up to its last blank line, also one in place of events, or events without an id. - A replica that started again at the first event, or at the last one, gave the caller these events twice. - Behind a body without a length, a second response of the endpoint was forwarded with its head, as an event (for streams that may run once, too).

Cause: after the head was sent, any genuine answer with a status from 200 to 299 was relayed, and the relay looked for blank lines only. Ruled out: answers of 300 and above, refusals and answers to other requests were already held back; a rejection after the head closes the connection; an answer to a pipelined request does not follow a broken stream; plain answers are read whole first.

Now the answer that continues a stream must have the status and media type of the first one, and its first event an id above the last one forwarded. A head of a response at the start of a line breaks a body without a length. All of these count as a broken attempt, so the stream goes on at a further engine, or its connection is closed without the end. The id of the last event advances only with what was forwarded; before, it did when bytes arrived.

Not covered: an empty answer of the same type ends the stream. It is right when the first engine broke off after its last event, and nothing tells.

--- a/src/gateway/AnswerBody.test.ts
+++ b/src/gateway/AnswerBody.test.ts
@@ -11,6 +11,7 @@
     status: 503,
     headers: [],
     isGenuine: true,
+    mediaType: '',
     isFramed: true,
     isNotRun: true,
     isWrongEndpoint: false,
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -42,7 +42,7 @@
    * this says nothing about its health: it names a rate limit, or this VM has lost its path to it.
    */
   | { readonly kind: 'not-run'; readonly inputsLost: boolean; readonly isHealthy: boolean }
-  /** The response is truncated or not authentic, or it is an error response after the stream had started. */
+  /** The response is truncated or not authentic, or does not go on with the stream that had started. */
   | { readonly kind: 'cut'; readonly reason: string }
   /** The request was sent, at least in part, but no response arrived. */
   | { readonly kind: 'lost' }
@@ -67,6 +67,9 @@
   /** Whether the stage results of the current plan were released, because an engine started to respond. */
   private inputsReleased = false;
 
+  /** Response whose head was sent to the caller. */
+  private begun: types.IEndpointAnswer | undefined;
+
   /** Identifies the request and its resends. */
   private readonly fingerprint: string;
 
@@ -340,10 +343,16 @@
     if (!isStream) {
       return this.relayFailure(answer);
     }
+    const { begun = answer } = this;
+    if (answer.status !== begun.status || answer.mediaType !== begun.mediaType) {
+      const reason = `status ${answer.status}, type ${answer.mediaType} after the stream had started`;
+      return { kind: 'cut', reason };
+    }
     if (!scope.responseStarted) {
       // Throws for a head that cannot be written, in place of which a rejection still can.
       scope.responder.begin(answer);
       scope.responseStarted = true;
+      this.begun = answer;
     }
     const end = await this.relay.relay(answer, () => {
       deps.planner.markStarted(this.planId, isStream);
--- a/src/gateway/EventRelay.ts
+++ b/src/gateway/EventRelay.ts
@@ -5,11 +5,14 @@
 /** Maximum size of one event, which is buffered until it is complete; a stream with a larger one counts as broken. */
 const MAX_EVENT_BYTES = 1_048_576;
 
+/** Head of a response at the start of a line. */
+const RESPONSE_HEAD = /(?:^|[\r\n])HTTP\/1\.\d \d{3}/;
+
 /** How the relay of one endpoint's response ended. */
 export type RelayEnd =
   /** The complete response was forwarded. */
   | { readonly kind: 'whole' }
-  /** The response broke off, ended inside an event, or held an event that is too large. */
+  /** The response broke off, ended inside an event, held no events that go on, or an event that is too large. */
   | { readonly kind: 'cut'; readonly reason: string }
   /** The request ended meanwhile. */
   | { readonly kind: 'over' };
@@ -19,7 +22,7 @@
  * a stream that is resumed on another endpoint continues without gaps or duplicated parts.
  */
 export class EventRelay {
-  private readonly framer = new eventFramer.EventFramer();
+  private lastForwardedId: string | undefined;
 
   private hasForwardedEvents = false;
 
@@ -33,7 +36,7 @@
 
   /** Id of the last event that was forwarded; undefined if there is none. */
   get lastEventId(): string | undefined {
-    return this.framer.lastId;
+    return this.lastForwardedId;
   }
 
   /**
@@ -42,6 +45,7 @@
    */
   async relay(answer: types.IEndpointAnswer, onFirstData: () => void): Promise<RelayEnd> {
     const { scope } = this;
+    const framer = new eventFramer.EventFramer();
     let isFirst = true;
     try {
       for await (const chunk of answer.body) {
@@ -52,12 +56,20 @@
           isFirst = false;
           onFirstData();
         }
-        const events = this.framer.push(chunk as Buffer);
-        this.hasForwardedEvents ||= events.length > 0;
-        if (events.length > 0 && !scope.responder.write(events)) {
-          await this.awaitDrain();
+        const isContinued = this.hasForwarded && !framer.started;
+        const events = framer.push(chunk as Buffer);
+        if (events.length > 0) {
+          const fault = this.findFault(events, answer, isContinued);
+          if (fault !== undefined) {
+            return this.endBroken(fault);
+          }
+          this.hasForwardedEvents = true;
+          this.lastForwardedId = framer.lastId ?? this.lastForwardedId;
+          if (!scope.responder.write(events)) {
+            await this.awaitDrain();
+          }
         }
-        if (this.framer.partialBytes > MAX_EVENT_BYTES) {
+        if (framer.partialBytes > MAX_EVENT_BYTES) {
           return this.endBroken(`event exceeds ${MAX_EVENT_BYTES} bytes`);
         }
       }
@@ -67,18 +79,38 @@
     if (!answer.isComplete()) {
       return this.endBroken('connection broke');
     }
-    const { partialBytes } = this.framer;
+    const { partialBytes } = framer;
     return partialBytes > 0
       ? this.endBroken(`ended inside an event after ${partialBytes} bytes of it`)
       : this.endWhole();
   }
 
+  /** Returns why events must not be forwarded; undefined if they may be. */
+  private findFault(
+    events: Buffer,
+    answer: types.IEndpointAnswer,
+    isContinued: boolean,
+  ): string | undefined {
+    if (isContinued && !this.isAfterLast(eventFramer.firstIdOf(events))) {
+      return 'does not go on after the last event';
+    }
+    // A body without a length includes whatever the endpoint writes behind it.
+    const mayHoldHead = !answer.isFramed && events.includes('HTTP/1.');
+    return mayHoldHead && RESPONSE_HEAD.test(events.toString('latin1'))
+      ? 'another response in the body'
+      : undefined;
+  }
+
+  /** Whether an event with the id may follow the last one that was forwarded; ids increase. */
+  private isAfterLast(id: string | undefined): boolean {
+    return this.lastForwardedId === undefined || Number(id) > Number(this.lastForwardedId);
+  }
+
   private endWhole(): RelayEnd {
     return { kind: this.scope.isFinished ? 'over' : 'whole' };
   }
 
   private endBroken(reason: string): RelayEnd {
-    this.framer.discard();
     return this.scope.isFinished ? { kind: 'over' } : { kind: 'cut', reason };
   }
 
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -66,6 +66,7 @@
     status,
     headers: [],
     isGenuine: true,
+    mediaType: '',
     isFramed: true,
     isNotRun: false,
     isWrongEndpoint: false,
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -129,6 +129,8 @@
   readonly headers: RawHeaders;
   /** Whether it has the endpoint's signature header and the id of the request, and its body is not content-encoded. */
   readonly isGenuine: boolean;
+  /** Media type of the body, in lower case and without parameters; empty if the response names none. */
+  readonly mediaType: string;
   /**
    * Whether the body is delimited, by Content-Length or chunked encoding. The end of an undelimited body is the end
    * of its connection, which looks the same if the endpoint crashes. The caller therefore must receive such a body
