Continue a stage's stream in the entry only with an answer that fits it

Callers found the JSON text of a 404, or a page, behind their events, and the stream ended as whole, also after a 204. An answer of another media type needs no end mark, and what it holds after its last blank line is passed on at its end.

Cause: ResumingStream compared the ids of events only, and only where the new answer had one. It now takes an answer with the status and media type of the first one; any other is the failure answer-mismatch, and the stream goes on at a further endpoint, or ends as cut.

Ruled out here: copies of answers. A call's id is unique for each attempt, an answer with another id or none fails the call, and calls that must not repeat use connections of their own (HttpEndpointClient.test.ts). A stream that starts again was held back before.

--- a/src/entry/stage/ResumingStream.ts
+++ b/src/entry/stage/ResumingStream.ts
@@ -34,10 +34,16 @@
   return Number(first) === Number(lastId) + 1;
 }
 
+function mediaTypeOf({ headers }: entryTypes.IEndpointStream): string {
+  const [type = ''] = (headers['content-type'] ?? '').split(';', 1);
+  return type.trim().toLowerCase();
+}
+
 /**
  * The chunks of one stage's stream. A stream that is cut before its first event starts again on another
  * endpoint. After that, it resumes after the last whole event when the pool supports resuming, and the first
- * resumed event must be the next one in sequence. In all other cases the caller gets `stream-cut`.
+ * resumed event must be the next one in sequence. Only an answer with the status and media type of the first one goes on
+ * with it, since their head may have reached the caller. In all other cases the caller gets `stream-cut`.
  */
 export class ResumingStream implements AsyncIterable<Uint8Array> {
   private readonly framer = new eventFramer.EventFramer();
@@ -48,6 +54,8 @@
 
   private ended = false;
 
+  private readonly first: entryTypes.IEndpointStream;
+
   private readonly onAbort = (): void => this.end('failed');
 
   /** Relays the stream of `winner`; `onEnd` is called exactly once with the outcome. */
@@ -59,6 +67,7 @@
     private readonly restart: RestartStream,
     private readonly onEnd: (outcome: 'ok' | 'failed') => void,
   ) {
+    this.first = winner.result;
     ctx.signal.addEventListener('abort', this.onAbort, { once: true });
   }
 
@@ -82,9 +91,13 @@
   private async *relay(): AsyncGenerator<Uint8Array, unknown> {
     const { attempt, result } = this.winner;
     const resumedAfter = this.framer.lastId;
+    const mismatch = this.findMismatch();
     let first = true;
     try {
       for await (const chunk of result.chunks) {
+        if (mismatch !== undefined) {
+          throw mismatch;
+        }
         const events = this.framer.push(chunk);
         if (events.length === 0) {
           continue;
@@ -99,6 +112,9 @@
       this.framer.discard();
       return err;
     }
+    if (mismatch !== undefined) {
+      return mismatch;
+    }
     const rest = this.framer.finish();
     if (rest.length > 0) {
       yield rest;
@@ -107,6 +123,21 @@
     return undefined;
   }
 
+  /** Returns the error of an answer that does not go on with the first one; undefined if it does. */
+  private findMismatch(): endpointError.EndpointError | undefined {
+    const { attempt, result } = this.winner;
+    const goesOn =
+      result.status === this.first.status && mediaTypeOf(result) === mediaTypeOf(this.first);
+    return goesOn
+      ? undefined
+      : new endpointError.EndpointError(
+          'answer-mismatch',
+          attempt.endpoint.name,
+          true,
+          result.status,
+        );
+  }
+
   private async resume(cause: unknown): Promise<void> {
     const { attempt } = this.winner;
     if (cause instanceof requestError.RequestError) {
