Record streams of versions that have the name of an inherited property

Cause: objects as maps for keys that others choose. Both places now group with a Map; Object.fromEntries and JSON.parse keep __proto__ as a plain key. Ruled out elsewhere: the gateway, balancer, planner, rooms, limits and feed keep ids, services and versions in Maps and Sets.

--- a/src/control/document/SharedState.ts
+++ b/src/control/document/SharedState.ts
@@ -73,11 +73,13 @@
   }
 
   private get versions(): versionRecord.IVersionRecord {
-    const streams: Record<string, string[]> = {};
-    this.streams.latest(MAX_SNAPSHOT_STREAMS).forEach(({ requestId, version }) => {
-      (streams[version] ??= []).push(requestId);
-    });
-    return { services: Object.fromEntries(this.streams.loggedVersions), streams };
+    const latest = this.streams.latest(MAX_SNAPSHOT_STREAMS);
+    return {
+      services: Object.fromEntries(this.streams.loggedVersions),
+      streams: versionRecord.groupByVersion(
+        latest.map(({ requestId, version }) => [version, requestId]),
+      ),
+    };
   }
 
   private adopt({ services, streams }: versionRecord.IVersionRecord): void {
--- a/src/coordination/StreamRecorder.test.ts
+++ b/src/coordination/StreamRecorder.test.ts
@@ -91,6 +91,26 @@
     expect(restarted.versionOf('never', SERVICE)).toBeUndefined();
   });
 
+  it.each(['__proto__', 'constructor', 'toString'])(
+    'records streams of a version that is the name of an inherited property: %s',
+    async (version) => {
+      streams.recordListed(SERVICE, ['v1', version]);
+      begin('a', version);
+      begin('b', 'v1');
+      await clock.advance(INTERVAL_MS);
+      const fromSnapshot = new streamVersions.StreamVersions(clock);
+      const state = new sharedState.SharedState(streams);
+      const text = JSON.stringify({ version: 1, text: '{}' });
+      state.apply(1, Buffer.from(text));
+      new sharedState.SharedState(fromSnapshot).restore(state.snapshot());
+      [restart(), fromSnapshot].forEach((known) => {
+        known.recordListed(SERVICE, ['v1', version]);
+        expect(known.versionOf('a', SERVICE)).toBe(version);
+        expect(known.versionOf('b', SERVICE)).toBe('v1');
+      });
+    },
+  );
+
   it('forgets a version a minute after its last endpoint has left', async () => {
     streams.recordListed(SERVICE, ['v1', 'v2']);
     await clock.advance(INTERVAL_MS);
--- a/src/coordination/StreamRecorder.ts
+++ b/src/coordination/StreamRecorder.ts
@@ -111,7 +111,7 @@
     readonly streams: Readonly<Record<string, readonly string[]>>;
   } {
     const ids: (readonly [string, string])[] = [];
-    const streams: Record<string, string[]> = {};
+    const taken: (readonly [version: string, id: string])[] = [];
     [...this.unrecorded]
       .filter(([service]) => this.hasSeveralVersions(service))
       .forEach(([service, pending]) => {
@@ -123,11 +123,11 @@
           const version = this.deps.streams.unloggedVersionOf(id);
           if (version !== undefined) {
             ids.push([service, id]);
-            (streams[version] ??= []).push(id);
+            taken.push([version, id]);
           }
         }
       });
-    return { ids, streams };
+    return { ids, streams: versionRecord.groupByVersion(taken) };
   }
 
   private hasSeveralVersions(service: string): boolean {
--- a/src/coordination/VersionRecord.ts
+++ b/src/coordination/VersionRecord.ts
@@ -33,3 +33,22 @@
   const { record, services, streams } = JSON.parse(Buffer.from(command).toString('utf8'));
   return record === KIND ? { services, streams } : undefined;
 }
+
+/**
+ * Groups ids of requests by the version of their stream, in order. A version may have any name, also that of a property
+ * which objects inherit.
+ *
+ * @example
+ * groupByVersion([['v1', 'r-1'], ['v2', 'r-2'], ['v1', 'r-3']]); // { v1: ['r-1', 'r-3'], v2: ['r-2'] }
+ */
+export function groupByVersion(
+  streams: readonly (readonly [version: string, id: string])[],
+): IVersionRecord['streams'] {
+  const groups = new Map<string, string[]>();
+  streams.forEach(([version, id]) => {
+    const ids = groups.get(version) ?? [];
+    ids.push(id);
+    groups.set(version, ids);
+  });
+  return Object.fromEntries(groups);
+}
