Leave out invalid entries of the entry's list of VMs

The product's own entry had the same fault as its reader of replicas: one entry with another state, a missing field or another type failed the whole list, and the entry followed no change while it stood there. A generation of 1e300 would have made every later list an old one.

Invalid entries are left out and counted (membership-entries-invalid); a generation must be a whole number that later ones can exceed.

--- a/src/membership/HttpPlatformListClient.ts
+++ b/src/membership/HttpPlatformListClient.ts
@@ -8,17 +8,17 @@
 const MAX_BYTES = 2_000_000;
 
 const listSchema = zod.object({
-  generation: zod.number(),
-  vms: zod.array(
-    zod.object({
-      name: zod.string(),
-      address: zod.string(),
-      state: zod.enum(['live', 'leaving']),
-    }),
-  ),
+  generation: zod.int().nonnegative(),
+  vms: zod.array(zod.unknown()),
 });
 
-/** Reads the platform's list of VMs over HTTP. */
+const vmSchema = zod.object({
+  name: zod.string().min(1),
+  address: zod.string(),
+  state: zod.enum(['live', 'leaving']),
+});
+
+/** Reads the platform's list of VMs over HTTP; leaves out entries that are invalid. */
 export class HttpPlatformListClient implements types.IPlatformListClient {
   /** Reads from the platform at `address` (`ip:port`). */
   constructor(private readonly address: string) {}
@@ -26,7 +26,12 @@
   /** @inheritdoc */
   async read(signal: AbortSignal): Promise<types.IPlatformList> {
     const text = await this.get(signal);
-    return listSchema.parse(JSON.parse(text));
+    const { generation, vms: entries } = listSchema.parse(JSON.parse(text));
+    const vms = entries.flatMap((entry) => {
+      const { data } = vmSchema.safeParse(entry);
+      return data === undefined ? [] : [data];
+    });
+    return { generation, vms, invalid: entries.length - vms.length };
   }
 
   private get(signal: AbortSignal): Promise<string> {
--- a/src/membership/PlatformListPoller.ts
+++ b/src/membership/PlatformListPoller.ts
@@ -13,6 +13,9 @@
 export class PlatformListPoller implements commonTypes.IDisposable {
   private readonly controller = new AbortController();
 
+  /** Number of invalid entries in the last list. */
+  private invalidCount = 0;
+
   /** Starts to poll; runs until disposed. `entries` returns the number of entry VMs believed to be alive. */
   constructor(
     private readonly client: types.IPlatformListClient,
@@ -42,6 +45,7 @@
   private async read(): Promise<void> {
     try {
       const list = await this.client.read(this.controller.signal);
+      this.reportInvalid(list.invalid ?? 0);
       this.table.applyList(list);
     } catch (err) {
       if (!this.controller.signal.aborted) {
@@ -51,6 +55,13 @@
     }
   }
 
+  private reportInvalid(invalid: number): void {
+    if (invalid !== this.invalidCount) {
+      this.invalidCount = invalid;
+      this.log.warn('membership-entries-invalid', { invalid });
+    }
+  }
+
   private async pause(signal: AbortSignal): Promise<void> {
     const { listReadsPerSecond, intervalMs } = this.options;
     const period = (this.entries() / listReadsPerSecond) * MS_PER_SECOND;
--- a/src/membership/Types.ts
+++ b/src/membership/Types.ts
@@ -14,6 +14,8 @@
   /** Increases with each change of the list. */
   readonly generation: number;
   readonly vms: readonly IListedVm[];
+  /** Number of entries that are left out because they are invalid. */
+  readonly invalid?: number;
 }
 
 /** Reads the platform's list of VMs. */
