Report why a leader loses its quorum, and what its feed sends

- quorum-lost (warn): ms since each voter last answered, the timeout, the longest delay of the check's timer in the last two election timeouts (the event loop).
QuorumMonitor is split from Leadership; the check is the same.
- feed-load (warn) when leadership ends: sessions, bytes that no socket has taken, bytes of the last second.
- config-broadcast (info): version, characters and sessions.
- Counters feed_bytes_sent, feed_messages_sent and feed_messages_encoded by kind of message; kinds are few.

--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -185,6 +185,7 @@
         clock,
         random,
         logService,
+        metrics,
         onRelays: dependencies.onRelays,
       }),
     );
--- a/src/control/replication/Leadership.ts
+++ b/src/control/replication/Leadership.ts
@@ -4,6 +4,7 @@
 import * as commitUnknown from './CommitUnknownError.js';
 import * as notLeader from './NotLeaderError.js';
 import * as peerReplicator from './PeerReplicator.js';
+import * as quorumMonitor from './QuorumMonitor.js';
 import type * as replicaState from './ReplicaState.js';
 
 /** Callbacks from a leadership to its replica. */
@@ -53,7 +54,7 @@
 
   private diskCheckedAt = -Infinity;
 
-  private quorumCheckTimer: commonTypes.IDisposable | undefined;
+  private readonly quorumMonitor: quorumMonitor.QuorumMonitor;
 
   private ended = false;
 
@@ -64,6 +65,12 @@
     private readonly listener: ILeadershipListener,
   ) {
     this.firstIndex = state.store.lastIndex + 1;
+    this.quorumMonitor = new quorumMonitor.QuorumMonitor(state, this.replicators, {
+      onCheck: () => {
+        void this.checkDiskSpace();
+      },
+      onLost: () => listener.onLost(undefined, 'no-quorum'),
+    });
   }
 
   /**
@@ -73,7 +80,7 @@
   start(): void {
     this.appendEntry('noop', new Uint8Array());
     this.updateReplicators();
-    this.checkQuorum();
+    this.quorumMonitor.start();
   }
 
   /**
@@ -185,7 +192,7 @@
    */
   dispose(): void {
     this.ended = true;
-    this.quorumCheckTimer?.dispose();
+    this.quorumMonitor.dispose();
     this.replicators.forEach((replicator) => replicator.dispose());
     const pending = [...this.pendingEntries];
     this.pendingEntries.clear();
@@ -258,30 +265,6 @@
     return confirmedNumbers[Math.floor(confirmedNumbers.length / 2)] ?? 0;
   }
 
-  /** Steps down when no quorum has answered within an election timeout; repeats at every heartbeat interval. */
-  private checkQuorum(): void {
-    if (this.ended) {
-      return;
-    }
-    if (!this.hasQuorum()) {
-      this.listener.onLost(undefined, 'no-quorum');
-      return;
-    }
-    void this.checkDiskSpace();
-    this.quorumCheckTimer = this.state.clock.setTimer(this.state.tuning.heartbeatMs, () =>
-      this.checkQuorum(),
-    );
-  }
-
-  private hasQuorum(): boolean {
-    const { members, self, clock, tuning } = this.state;
-    const earliestMs = clock.monotonic() - tuning.electionTimeoutMs;
-    const respondingIds = [...this.replicators.values()]
-      .filter((replicator) => replicator.lastAnsweredSentAt >= earliestMs)
-      .map((replicator) => replicator.peer.id);
-    return members.isQuorum(new Set([self.id, ...respondingIds]));
-  }
-
   private async checkDiskSpace(): Promise<void> {
     const { clock, store, tuning } = this.state;
     if (clock.monotonic() - this.diskCheckedAt < DISK_CHECK_INTERVAL_MS) {
--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -74,6 +74,7 @@
     clock,
     random: new seededRandom.SeededRandom(1),
     logService,
+    metrics,
     onRelays: () => {},
   });
   const port = await new Promise<number>((resolve, reject) => {
--- a/src/coordination/FeedCodec.ts
+++ b/src/coordination/FeedCodec.ts
@@ -25,7 +25,7 @@
   return JSON.parse(bytes.toString('utf8')) as types.DownMessage;
 }
 
-/** Service definition of the feed for a gRPC server. */
+/** Service definition of the feed for a gRPC server, whose messages to entry VMs are encoded before they are written. */
 export const FEED_SERVICE: grpc.ServiceDefinition = {
   open: {
     path: FEED_PATH,
@@ -33,7 +33,7 @@
     responseStream: true,
     requestSerialize: encode,
     requestDeserialize: decodeUp,
-    responseSerialize: encode,
+    responseSerialize: (bytes: Buffer) => bytes,
     responseDeserialize: decodeDown,
   },
 };
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -14,13 +14,13 @@
 import type * as coordinator from './Coordinator.js';
 import * as blameExchange from './BlameExchange.js';
 import * as feedCodec from './FeedCodec.js';
+import * as feedTraffic from './FeedTraffic.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
+import * as sessionStream from './SessionStream.js';
 import type * as types from './Types.js';
 
-type Stream = grpc.ServerDuplexStream<types.UpMessage, types.DownMessage>;
-
 /** Interval of the state messages to each entry VM. */
 const STATE_INTERVAL_MS = 250;
 /** A session that has sent no message for this long is closed. */
@@ -41,7 +41,7 @@
 type PlanProgress = 'pending' | 'ready';
 
 interface ISession {
-  readonly stream: Stream;
+  readonly stream: sessionStream.SessionStream;
   vm: string;
   version: number;
   /** Address at which the VM connects others to endpoints; undefined if it does not. */
@@ -68,6 +68,7 @@
   readonly clock: commonTypes.IClock;
   readonly random: commonTypes.IRandom;
   readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
   /** Receives the addresses of entry VMs that connect this VM to endpoints. */
   readonly onRelays: (relays: readonly string[]) => void;
 }
@@ -97,6 +98,8 @@
 
   private readonly recentEntryCount: recentMaximum.RecentMaximum;
 
+  private readonly traffic: feedTraffic.FeedTraffic;
+
   /** Registers the feed service at `server` and starts to send the state to entry VMs at a fixed interval. */
   constructor(
     server: grpc.Server,
@@ -104,8 +107,9 @@
   ) {
     this.leaderSeenAt = deps.clock.monotonic();
     this.recentEntryCount = new recentMaximum.RecentMaximum(deps.clock, ENTRY_COUNT_WINDOW_MS);
+    this.traffic = new feedTraffic.FeedTraffic(deps.clock, deps.metrics);
     server.addService(feedCodec.FEED_SERVICE, {
-      open: (stream: Stream) => this.openSession(stream),
+      open: (stream: sessionStream.ServerStream) => this.openSession(stream),
     });
     this.rateLimitExchange = new rateLimitExchange.RateLimitExchange(
       deps.rateLimitTable,
@@ -128,7 +132,10 @@
       deps.clock,
       deps.random,
       () =>
-        [...this.sessions].map(({ relay, stream }) => ({ relay, send: stream.write.bind(stream) })),
+        [...this.sessions].map(({ relay, stream }) => ({
+          relay,
+          send: (message) => stream.write(message),
+        })),
       deps.onRelays,
     );
     this.subscriptions.push(
@@ -136,9 +143,9 @@
       this.blameExchange,
       this.relayExchange,
       this.roomExchange,
-      deps.document.onChange(() => this.broadcastDocument()),
+      deps.document.onChange((document) => this.handleDocument(document)),
       deps.directory.onChange((list) => this.broadcastEndpoints(list)),
-      deps.log.onLeadership(() => this.broadcastState()),
+      deps.log.onLeadership((leads) => this.handleLeadership(leads)),
     );
     void this.runStateLoop();
   }
@@ -170,11 +177,11 @@
     }
   }
 
-  private openSession(stream: Stream): void {
+  private openSession(stream: sessionStream.ServerStream): void {
     const now = this.deps.clock.monotonic();
     const plans = new Map<string, PlanProgress>();
     const session: ISession = {
-      stream,
+      stream: new sessionStream.SessionStream(stream, this.traffic),
       vm: '',
       version: 0,
       relay: undefined,
@@ -426,6 +433,14 @@
     this.broadcastDocument();
   }
 
+  private handleDocument({ version, text }: documentState.IDocument): void {
+    if (this.isCoordinating) {
+      const fields = { version, characters: text.length, sessions: this.sessions.size };
+      this.deps.logService.info('config-broadcast', fields);
+    }
+    this.broadcastDocument();
+  }
+
   private broadcastDocument(): void {
     this.sessions.forEach((session) => this.sendDocumentTo(session));
   }
@@ -461,6 +476,15 @@
   private broadcast(message: types.DownMessage): void {
     this.sessions.forEach((session) => session.stream.write(message));
   }
+
+  private handleLeadership(leads: boolean): void {
+    if (!leads) {
+      const { queuedBytes, recentBytes } = this.traffic;
+      const sessions = this.sessions.size;
+      this.deps.logService.warn('feed-load', { sessions, queuedBytes, recentBytes });
+    }
+    this.broadcastState();
+  }
 }
 
 function failureOf(message: types.UpMessage & { readonly kind: 'again' }): types.EngineFailure {
