Do not take a message of a later build for the outcome of a plan

FeedClient.handleMessage took every unknown kind for 'planned' and resolved the plan of that planId with an undefined outcome. While two builds run side by side, a message that a later control VM adds would end plans or fail in the entry VM. Unknown kinds are now ignored, as FeedServer does.

FeedBuilds.test.ts, before: AssertionError: expected undefined to match object { kind: 'refused', reason: 'too-late' }; now passes.

--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -462,11 +462,11 @@
       case 'permit':
         this.permitEmitter.fire(message.answer);
         break;
-      default: {
-        const pendingPlan = this.pending.get(message.planId);
+      case 'planned':
+        this.pending.get(message.planId)?.resolve(message.outcome);
         this.pending.delete(message.planId);
-        pendingPlan?.resolve(message.outcome);
-      }
+        break;
+      default:
     }
   }
 
