Send changes of configuration and endpoint list as differences, at half of the link

Cause shown by a simulation: FeedServer sent the whole configuration and the whole endpoint list to each of 200 sessions at each change, encoded anew for each. On one link of 100 Mbit/s heartbeats (80 ms, election timeout 420 ms) waited behind them: 392 ms for a list of 165 endpoints at 206 VMs, 258 ms for a configuration of 14 KB, 648 ms for both at a change of the leader. Both within one interval exceed the timeout. Ruled out in the simulation: event loop, disk, loss; none is limited there. Not shown by this commit: that it is the only cause on the platform.

A VM names those that it holds in its hello, and gets a patch (TextPatch) or the deflated whole; it checks the result and asks for the whole text if it does not fit. Each message is encoded once for all VMs that hold the same text (broadcasts of other kinds as well). PacedSender lets them leave at half of the link's rate, which comes from the settings (limits.linkMbps); a VM whose turn comes late gets only the newest text, so nothing goes back. VMs of an earlier build name nothing and get whole messages; an earlier control VM ignores the names. Who may hand out a configuration is unchanged (sendDocumentTo).

Changes to existing tests: Feed.test.ts passes the new setting; Settings.test.ts also checks linkMbps; SimulatedNetwork can send over a limited link, which is off where it is not set. No check was changed.

--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -47,6 +47,8 @@
  */
 const MIN_FOUNDERS_AFTER_FIRST_START = 3;
 const MAX_DOCUMENT_BYTES = 8 * MIB;
+/** Share of the link that configurations and endpoint lists may use; heartbeats and plans need the rest. */
+const BROADCAST_LINK_SHARE = 0.5;
 /** Log size from which a snapshot replaces the log. */
 const SNAPSHOT_MIN_LOG_BYTES = 2 * MIB;
 
@@ -61,6 +63,8 @@
   readonly diskBytes: number;
   /** True at the first start of the whole system, when no group can exist yet. */
   readonly isFirstStart: boolean;
+  /** Rate of the VM's network link. */
+  readonly linkBytesPerMs: number;
   /** Returns the `ip:port` of the control VMs in the current settings. */
   readonly seeds: () => readonly string[];
 }
@@ -186,6 +190,7 @@
         random,
         logService,
         metrics,
+        broadcastBytesPerMs: options.linkBytesPerMs * BROADCAST_LINK_SHARE,
         onRelays: dependencies.onRelays,
       }),
     );
--- a/src/control/replication/testing/SimulatedNetwork.ts
+++ b/src/control/replication/testing/SimulatedNetwork.ts
@@ -1,3 +1,4 @@
+import type * as rateLimitedLink from '../../../common/testing/RateLimitedLink.js';
 import type * as commonTypes from '../../../common/Types.js';
 import type * as types from '../Types.js';
 import * as wireCodec from '../WireCodec.js';
@@ -25,6 +26,8 @@
 
   private readonly cutLinks = new Set<string>();
 
+  private readonly links = new Map<string, rateLimitedLink.RateLimitedLink>();
+
   /** Draws delays and faults from `random`. */
   constructor(
     private readonly clock: commonTypes.IClock,
@@ -63,6 +66,11 @@
       });
   }
 
+  /** Sends the messages of an address over a link of limited rate, which others may share. */
+  limit(from: string, link: rateLimitedLink.RateLimitedLink): void {
+    this.links.set(from, link);
+  }
+
   /** Restores all cut links. */
   heal(): void {
     this.cutLinks.clear();
@@ -86,7 +94,7 @@
       };
       const copies = this.random.next() < this.duplicateRatio ? 2 : 1;
       for (let copy = 0; copy < copies; copy++) {
-        this.transmit(from, to, () => this.deliver(from, to, bytes, answer));
+        this.transmit(from, to, bytes.length, () => this.deliver(from, to, bytes, answer));
       }
     });
   }
@@ -101,7 +109,10 @@
       const req = wireCodec.decodeRequest(bytes);
       this.countDelivered(req.body);
       handler(req).then(
-        (res) => this.transmit(to, from, () => answer(wireCodec.encodeResponse(res))),
+        (res) => {
+          const answerBytes = wireCodec.encodeResponse(res);
+          this.transmit(to, from, answerBytes.length, () => answer(answerBytes));
+        },
         () => {},
       );
     });
@@ -112,8 +123,18 @@
     this.delivered.set(kind, (this.delivered.get(kind) ?? 0) + 1);
   }
 
+  /** Sends a message over the link of its sender, if that is limited. */
+  private transmit(from: string, to: string, bytes: number, arrive: () => void): void {
+    const link = this.links.get(from);
+    if (link === undefined) {
+      this.deliverLater(from, to, arrive);
+    } else {
+      link.send(bytes, () => this.deliverLater(from, to, arrive));
+    }
+  }
+
   /** Delivers a message after a random delay, unless it is lost or the link is cut at delivery time. */
-  private transmit(from: string, to: string, arrive: () => void): void {
+  private deliverLater(from: string, to: string, arrive: () => void): void {
     if (this.random.next() < this.lossRatio) {
       return;
     }
--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -75,6 +75,7 @@
     random: new seededRandom.SeededRandom(1),
     logService,
     metrics,
+    broadcastBytesPerMs: Infinity,
     onRelays: () => {},
   });
   const port = await new Promise<number>((resolve, reject) => {
--- a/src/coordination/FeedBuilds.test.ts
+++ b/src/coordination/FeedBuilds.test.ts
@@ -4,9 +4,11 @@
 import * as systemClock from '../common/SystemClock.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
+import * as textDelta from '../common/wire/TextDelta.js';
 import * as feedClient from './FeedClient.js';
 import * as feedCodec from './FeedCodec.js';
 import type * as sessionStream from './SessionStream.js';
+import * as sharedText from './SharedText.js';
 import type * as types from './Types.js';
 
 const { afterEach, expect, test } = vitest;
@@ -77,10 +79,71 @@
   }
 }
 
+function digestOf(text: string): string {
+  return textDelta.hashText(text);
+}
+
+function updateTo(text: string, held: string): object {
+  const shared = new sharedText.SharedText({
+    topic: 'document',
+    toWholeMessage: () => STATE,
+    onEncoded: () => {},
+  });
+  shared.set(1, 'route 1\nroute 2\n');
+  shared.set(2, text);
+  return feedCodec.decodeDown(shared.messageFor(held).bytes);
+}
+
 afterEach(() => {
   disposables.splice(0).forEach((each) => each.dispose());
 });
 
+test('an entry VM follows a control VM of an earlier build, and then updates of a later one', async () => {
+  const held: string[] = [];
+  const client = await connect((message, send) => {
+    if (message.kind === 'hello') {
+      send(STATE);
+      held.push(message.held?.document ?? 'none');
+      if (held.length === 1) {
+        send({ kind: 'document', version: 1, text: 'route 1\nroute 2\n' });
+        send({ kind: 'endpoints', list: { revision: 1, endpoints: [] } });
+      } else {
+        send(updateTo('route 1\nroute 3\n', held.at(-1) ?? ''));
+      }
+    }
+  });
+  const received: unknown[] = [];
+  client.onDocument((document) => received.push(document));
+  client.onEndpoints((list) => received.push(list));
+  client.start();
+  await until(() => received.length === 2);
+  const { connection } = client as unknown as { connection: { end(reason: string): void } };
+  connection.end('lost in a test');
+  await until(() => received.length === 3);
+  expect(held).toEqual(['', digestOf('route 1\nroute 2\n')]);
+  expect(received.at(-1)).toEqual({ version: 2, text: 'route 1\nroute 3\n' });
+});
+
+test('an entry VM that missed an update requests the whole configuration and applies it once', async () => {
+  const resends: types.UpMessage[] = [];
+  const client = await connect((message, send) => {
+    if (message.kind === 'hello') {
+      const digest = digestOf('route 1\nroute 2\n');
+      send(STATE);
+      send(updateTo('route 1\nroute 3\n', digest));
+    } else if (message.kind === 'resend') {
+      resends.push(message);
+      send(updateTo('route 1\nroute 3\n', ''));
+    }
+  });
+  const received: unknown[] = [];
+  client.onDocument((document) => received.push(document));
+  client.start();
+  await until(() => received.length > 0);
+  expect(received).toEqual([{ version: 2, text: 'route 1\nroute 3\n' }]);
+  expect(resends).toEqual([{ kind: 'resend', topic: 'document' }]);
+});
+
 test('a message of a kind of a later build does not end a plan', async () => {
   const client = await connect((message, send) => {
     if (message.kind === 'hello') {
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -12,6 +12,7 @@
 import * as leaderSearch from './LeaderSearch.js';
 import type * as streamVersions from './StreamVersions.js';
 import type * as types from './Types.js';
+import * as updateReceiver from './UpdateReceiver.js';
 
 /** A connection without a message for this long is closed; about three state intervals of the server. */
 const SILENCE_TIMEOUT_MS = 800;
@@ -149,6 +150,8 @@
   /** Number of the current connection; the coordinator has no plans of earlier connections. */
   private sessionNumber = 0;
 
+  private readonly updates: updateReceiver.UpdateReceiver;
+
   /** Results that a coordinator is to free once one is connected. */
   private unusedResults: batching.IResultRecord[] = [];
 
@@ -159,6 +162,9 @@
     this.held = new heldResults.HeldResults(deps.clock);
     this.reportedEntryCount = new recentMaximum.RecentMaximum(deps.clock, ENTRY_COUNT_WINDOW_MS);
     this.search = new leaderSearch.LeaderSearch(deps);
+    this.updates = new updateReceiver.UpdateReceiver(deps.logService, (topic) =>
+      this.connection?.write({ kind: 'resend', topic }),
+    );
   }
 
   /** Connects, and reconnects after each loss, until `dispose` is called. */
@@ -362,6 +368,7 @@
       vm,
       version: this.version,
       entries: this.entryCount,
+      held: this.updates.digests,
       ...relay,
     });
     let lastKeepaliveAt = clock.monotonic();
@@ -432,10 +439,15 @@
       case 'state':
         this.handleState(message, address);
         break;
+      case 'update':
+        this.handleUpdate(message);
+        break;
       case 'document':
+        this.updates.set('document', message.text);
         this.documentEmitter.fire(message);
         break;
       case 'endpoints':
+        this.updates.set('endpoints', JSON.stringify(message.list.endpoints));
         this.endpointsEmitter.fire(message.list);
         break;
       case 'relays':
@@ -470,6 +482,20 @@
     }
   }
 
+  private handleUpdate(update: types.IUpdate): void {
+    const text = this.updates.apply(update);
+    const { topic, version } = update;
+    if (text === undefined) {
+      return;
+    }
+    if (topic === 'document') {
+      this.documentEmitter.fire({ version, text });
+    } else {
+      const endpoints = JSON.parse(text) as readonly routing.IEndpoint[];
+      this.endpointsEmitter.fire({ revision: version, endpoints });
+    }
+  }
+
   private handleState(state: types.DownMessage & { kind: 'state' }, address: string): void {
     this.search.updateMembers(state.members);
     this.reportedEntryCount.record(state.entries);
--- /dev/null
+++ b/src/coordination/FeedLoad.test.ts
@@ -0,0 +1,197 @@
+import * as vitest from 'vitest';
+import * as simulatedGroup from '../control/replication/testing/SimulatedGroup.js';
+import type * as controlTypes from '../control/Types.js';
+import * as manualClock from '../common/testing/ManualClock.js';
+import * as rateLimitedLink from '../common/testing/RateLimitedLink.js';
+import type * as routing from '../routing/Types.js';
+import * as feedFleet from './testing/FeedFleet.js';
+import * as feedVm from './testing/FeedVm.js';
+
+const { describe, expect, test } = vitest;
+
+/** A link of 100 Mbit/s. */
+const LINK_BYTES_PER_MS = 12_500;
+/** Timeouts of the control group. */
+const TUNING = {
+  ...simulatedGroup.TUNING,
+  heartbeatMs: 80,
+  electionTimeoutMs: 420,
+  callTimeoutMs: 500,
+};
+const ENTRY_VMS = 200;
+const ENDPOINTS = 165;
+/** Longest time from the acknowledgement of a configuration until it is in force on all VMs. */
+const IN_FORCE_MS = 3000;
+const LEADER = {
+  status: () => ({ role: 'leader', term: 1, members: [], id: 'c', leaderId: 'c' }),
+  onLeadership: () => ({ dispose: () => {} }),
+} as unknown as controlTypes.IReplicatedLog;
+
+function makeList(revision: number, count = ENDPOINTS): routing.IEndpointList {
+  const endpoints = Array.from({ length: count }, (_, index) => ({
+    id: `i-${(index + (index < revision ? 1_000_000 : 0)).toString(16).padStart(10, '0')}`,
+    service: `service-${index % 5}`,
+    address: `10.${index % 6}.64.${index}:8684`,
+    availabilityZone: `luzon-${index % 6}`,
+    version: '1',
+    slots: 16,
+    draining: false,
+  }));
+  return { revision, endpoints };
+}
+
+/** A configuration of 50 routes and 19 workspaces, in which `version` changes three places. */
+function makeText(version: number): string {
+  const routes = Array.from({ length: 50 }, (_, index) => ({
+    host: `host-${index}.example`,
+    prefix: `/path-${index}/${(index * 7919).toString(36)}/`,
+    service: `service-${index % 5}`,
+    kind: 'stream',
+    timeoutMs: index === version % 50 ? 10_000 + version : 15_000,
+    stages: [{ service: 'service-1', after: [], resultBytes: 800_000 + index }],
+    name: `a route for requests of the kind ${index}, with the stages that it needs`,
+  }));
+  const workspaces = Array.from({ length: 19 }, (_, index) => ({
+    name: `workspace-${index}`,
+    keys: [`key-${index}-${index === version % 19 ? version : 0}`.padEnd(24, 'x')],
+  }));
+  return JSON.stringify({ version, routes, workspaces });
+}
+
+function submit(fleet: feedFleet.FeedFleet, version: number): void {
+  fleet.document.restore(Buffer.from(JSON.stringify({ version, text: makeText(version) })));
+}
+
+/** A control VM that leads, with entry VMs that hold the first configuration and endpoint list. */
+async function startFleet(
+  count: number,
+  endpoints = ENDPOINTS,
+): Promise<{ clock: manualClock.ManualClock; fleet: feedFleet.FeedFleet }> {
+  const clock = new manualClock.ManualClock();
+  const options = { clock, log: LEADER, linkBytesPerMs: LINK_BYTES_PER_MS };
+  const fleet = new feedFleet.FeedFleet(options);
+  submit(fleet, 1);
+  fleet.directory.replace(makeList(1, endpoints));
+  fleet.connectNew(count);
+  await clock.advance(2000);
+  return { clock, fleet };
+}
+
+test('a leader keeps its quorum while changes go to 200 entry VMs over a link of 100 Mbit/s', async () => {
+  const ids = ['c1', 'c2', 'c3', 'c4', 'c5', 'c6'];
+  const group = new simulatedGroup.SimulatedGroup(1, ids, 4, TUNING);
+  const { id, log } = await group.startAll();
+  const { clock } = group;
+  const { term } = log.status();
+  const options = { clock, log, linkBytesPerMs: LINK_BYTES_PER_MS };
+  const fleet = new feedFleet.FeedFleet(options);
+  group.network.limit(id, fleet.link);
+  fleet.directory.replace(makeList(1));
+  fleet.connectNew(ENTRY_VMS);
+  for (let round = 1; round <= 8; round++) {
+    submit(fleet, round);
+    fleet.directory.replace(makeList(round + 1));
+    await clock.advance(850);
+  }
+  expect(group.logService.events.filter(({ event }) => event === 'quorum-lost')).toEqual([]);
+  expect(group.leader()?.log.status()).toMatchObject({ id, term });
+  fleet.dispose();
+  group.dispose();
+});
+
+describe('the cost of a change', () => {
+  test('does not grow with the number of VMs that encode it, nor with the endpoints that stay', async () => {
+    const costs = [];
+    for (const [count, endpoints] of [
+      [12, ENDPOINTS],
+      [206, ENDPOINTS],
+      [12, 10 * ENDPOINTS],
+    ] as const) {
+      const { clock, fleet } = await startFleet(count, endpoints);
+      const before = fleet.broadcastCost;
+      fleet.directory.replace(makeList(2, endpoints));
+      submit(fleet, 2);
+      await clock.advance(2000);
+      const { messages, bytes, encodings } = fleet.broadcastCost;
+      const sent = messages - before.messages;
+      costs.push({
+        sent,
+        each: (bytes - before.bytes) / sent,
+        encoded: encodings - before.encodings,
+      });
+      const list = JSON.stringify(makeList(2, endpoints).endpoints);
+      expect(fleet.vms.every((vm) => vm.endpoints === list && vm.version === 2)).toBe(true);
+      fleet.dispose();
+    }
+    const [few, many, long] = costs;
+    expect(few?.sent).toBe(24);
+    expect(many).toEqual({ ...few, sent: 412 });
+    expect(long?.each).toBeLessThan((few?.each ?? 0) + 50);
+  });
+
+  test('is a few bytes when a VM that holds the list connects to a new control VM', async () => {
+    const first = await startFleet(1);
+    const second = await startFleet(0);
+    const vm = first.fleet.vms[0] as feedVm.FeedVm;
+    const link = new rateLimitedLink.RateLimitedLink(second.clock, LINK_BYTES_PER_MS);
+    second.fleet.connect(Object.assign(vm, { link }));
+    await second.clock.advance(500);
+    expect(second.fleet.broadcastCost.bytes).toBeLessThan(500);
+    second.fleet.directory.replace(makeList(2));
+    await second.clock.advance(500);
+    expect(vm.endpoints).toBe(JSON.stringify(makeList(2).endpoints));
+    first.fleet.dispose();
+    second.fleet.dispose();
+  });
+});
+
+test('a VM that cannot apply an update gets the whole list', async () => {
+  const { clock, fleet } = await startFleet(2);
+  fleet.vms[0]?.spoilEndpoints();
+  fleet.directory.replace(makeList(2));
+  await clock.advance(500);
+  const list = JSON.stringify(makeList(2).endpoints);
+  expect(fleet.vms.map(({ endpoints }) => endpoints)).toEqual([list, list]);
+  fleet.dispose();
+});
+
+test('a VM of an earlier build gets whole messages beside VMs that get updates', async () => {
+  const { clock, fleet } = await startFleet(2);
+  const vm = new feedVm.FeedVm('earlier', fleet.link, true);
+  fleet.connect(vm);
+  submit(fleet, 2);
+  fleet.directory.replace(makeList(2));
+  await clock.advance(1000);
+  expect(vm.received.get('update')).toBeUndefined();
+  expect(vm.version).toBe(2);
+  expect(vm.endpoints).toBe(JSON.stringify(makeList(2).endpoints));
+  expect(fleet.vms[0]?.received.get('document')).toBeUndefined();
+  fleet.dispose();
+});
+
+test('a configuration is in force on 200 new VMs in time, whole texts and all, and none goes back', async () => {
+  const clock = new manualClock.ManualClock();
+  const options = { clock, log: LEADER, linkBytesPerMs: LINK_BYTES_PER_MS };
+  const fleet = new feedFleet.FeedFleet(options);
+  fleet.directory.replace(makeList(1));
+  submit(fleet, 1);
+  fleet.connectNew(ENTRY_VMS);
+  let longestDelay = 0;
+  let newest = 1;
+  const versions = new Map<feedVm.FeedVm, number>();
+  for (let elapsed = 0; elapsed < IN_FORCE_MS; elapsed += 50) {
+    if (elapsed % 250 === 0 && elapsed < 1000) {
+      newest += 1;
+      submit(fleet, newest);
+    }
+    await clock.advance(50);
+    longestDelay = Math.max(longestDelay, fleet.link.delay);
+    fleet.vms.forEach((vm) => {
+      expect(vm.version).toBeGreaterThanOrEqual(versions.get(vm) ?? 0);
+      versions.set(vm, vm.version);
+    });
+  }
+  expect(fleet.vms.every(({ version }) => version === newest)).toBe(true);
+  expect(longestDelay).toBeLessThan(TUNING.heartbeatMs);
+  fleet.dispose();
+});
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -19,6 +19,7 @@
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
 import * as sessionStream from './SessionStream.js';
+import * as topicFeeds from './TopicFeeds.js';
 import type * as types from './Types.js';
 
 /** Interval of the state messages to each entry VM. */
@@ -46,6 +47,8 @@
   version: number;
   /** Address at which the VM connects others to endpoints; undefined if it does not. */
   relay: string | undefined;
+  /** Digests of the texts that the VM holds; undefined if it takes no updates. */
+  held: Map<types.FeedTopic, string> | undefined;
   lastReceivedAt: commonTypes.Millis;
   /** Plans of the VM that have not ended, by id. */
   readonly plans: Map<string, PlanProgress>;
@@ -71,6 +74,8 @@
   readonly metrics: commonServices.IMetricsService;
   /** Receives the addresses of entry VMs that connect this VM to endpoints. */
   readonly onRelays: (relays: readonly string[]) => void;
+  /** Mean rate at which configurations and endpoint lists are sent to all entry VMs together. */
+  readonly broadcastBytesPerMs: number;
 }
 
 /**
@@ -100,6 +105,8 @@
 
   private readonly traffic: feedTraffic.FeedTraffic;
 
+  private readonly feeds: topicFeeds.TopicFeeds;
+
   /** Registers the feed service at `server` and starts to send the state to entry VMs at a fixed interval. */
   constructor(
     server: grpc.Server,
@@ -108,6 +115,8 @@
     this.leaderSeenAt = deps.clock.monotonic();
     this.recentEntryCount = new recentMaximum.RecentMaximum(deps.clock, ENTRY_COUNT_WINDOW_MS);
     this.traffic = new feedTraffic.FeedTraffic(deps.clock, deps.metrics);
+    const { clock, broadcastBytesPerMs } = deps;
+    this.feeds = new topicFeeds.TopicFeeds(clock, broadcastBytesPerMs, this.traffic);
     server.addService(feedCodec.FEED_SERVICE, {
       open: (stream: sessionStream.ServerStream) => this.openSession(stream),
     });
@@ -139,12 +148,15 @@
       deps.onRelays,
     );
     this.subscriptions.push(
+      this.feeds,
       this.rateLimitExchange,
       this.blameExchange,
       this.relayExchange,
       this.roomExchange,
       deps.document.onChange((document) => this.handleDocument(document)),
-      deps.directory.onChange((list) => this.broadcastEndpoints(list)),
+      deps.directory.onChange(() =>
+        this.sessions.forEach((session) => this.sendEndpointsTo(session)),
+      ),
       deps.log.onLeadership((leads) => this.handleLeadership(leads)),
     );
     void this.runStateLoop();
@@ -185,6 +197,7 @@
       vm: '',
       version: 0,
       relay: undefined,
+      held: undefined,
       lastReceivedAt: now,
       plans,
       pendingResults: [],
@@ -257,7 +270,10 @@
     switch (message.kind) {
       case 'hello':
         this.recentEntryCount.record(message.entries ?? 0);
-        Object.assign(session, { relay: message.relay });
+        Object.assign(session, {
+          relay: message.relay,
+          held: message.held && new Map(Object.entries(message.held)),
+        });
         this.handleHello(session, message.vm, message.version);
         break;
       case 'probe':
@@ -313,6 +329,9 @@
       case 'trial':
         this.blameExchange.handleTrial(session.vm, message, this.isCoordinating, send);
         break;
+      case 'resend':
+        this.resend(session, message.topic);
+        break;
       case 'permit':
         this.rateLimitExchange.handlePermit(
           message.permitId,
@@ -335,10 +354,7 @@
     this.blameExchange.greet((message) => session.stream.write(message));
     this.roomExchange.greet((message) => session.stream.write(message));
     this.relayExchange.greet(session.relay, (message) => session.stream.write(message));
-    const list = this.deps.directory.current;
-    if (this.canPlan) {
-      session.stream.write({ kind: 'endpoints', list });
-    }
+    this.sendEndpointsTo(session);
   }
 
   private startPlan(session: ISession, plan: types.IPlanRequest): void {
@@ -459,22 +475,33 @@
       (this.isCoordinating || isLeaderless)
     ) {
       Object.assign(session, { version: configuration.version });
-      session.stream.write({
-        kind: 'document',
-        version: configuration.version,
-        text: configuration.text,
-      });
+      this.feeds.sendDocument(session, configuration.version, configuration.text);
     }
   }
 
-  private broadcastEndpoints(list: routing.IEndpointList): void {
+  private sendEndpointsTo(session: ISession): void {
     if (this.canPlan) {
-      this.broadcast({ kind: 'endpoints', list });
+      this.feeds.sendEndpoints(session, this.deps.directory.current);
+    }
+  }
+
+  /** Sends the whole text of a topic to an entry VM that could not apply an update. */
+  private resend(session: ISession, topic: types.FeedTopic): void {
+    session.held?.delete(topic);
+    if (topic === 'document') {
+      Object.assign(session, { version: 0 });
+      this.sendDocumentTo(session);
+    } else {
+      this.sendEndpointsTo(session);
     }
   }
 
+  /** Encodes a message once and sends it to all entry VMs. */
   private broadcast(message: types.DownMessage): void {
-    this.sessions.forEach((session) => session.stream.write(message));
+    const { kind } = message;
+    const bytes = feedCodec.encode(message);
+    this.traffic.recordEncoded(kind);
+    this.sessions.forEach(({ stream }) => stream.writeEncoded(kind, bytes));
   }
 
   private handleLeadership(leads: boolean): void {
--- a/src/coordination/SessionStream.ts
+++ b/src/coordination/SessionStream.ts
@@ -18,6 +18,11 @@
     private readonly traffic: feedTraffic.FeedTraffic,
   ) {}
 
+  /** Whether `end` was called. */
+  get isEnded(): boolean {
+    return this.hasEnded;
+  }
+
   /** Encodes and sends a message. */
   write(message: types.DownMessage): void {
     this.traffic.recordEncoded(message.kind);
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -2,6 +2,7 @@
 import type * as batching from '../batching/Types.js';
 import type * as blame from '../blame/Types.js';
 import type * as commonTypes from '../common/Types.js';
+import type * as textPatch from '../common/wire/TextPatch.js';
 import type * as placing from '../placing/Types.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as rooms from '../room/Types.js';
@@ -110,6 +111,24 @@
   readonly record: batching.IResultRecord;
 }
 
+/** A text that control VMs send to all entry VMs: the configuration, or the endpoints as a JSON array. */
+export type FeedTopic = 'document' | 'endpoints';
+
+/** A new text of a topic, either whole or as the difference to a text that the entry VM holds. */
+export interface IUpdate {
+  readonly kind: 'update';
+  readonly topic: FeedTopic;
+  /** Version of the configuration, or revision of the endpoint list. */
+  readonly version: number;
+  /** SHA-256 of the text, in hexadecimal. */
+  readonly digest: string;
+  /** The whole text, compressed by raw deflate, in base64; absent if `parts` is present. */
+  readonly packed?: string;
+  /** SHA-256 of the text to which `parts` refers. */
+  readonly base?: string;
+  readonly parts?: readonly textPatch.PatchPart[];
+}
+
 /** Message from an entry VM to a control VM. */
 export type UpMessage =
   | {
@@ -120,6 +139,8 @@
       readonly entries?: number;
       /** Address (`ip:port`) at which it connects other VMs to endpoints; absent if it does not. */
       readonly relay?: string;
+      /** Digests of the texts that it holds, empty for none; absent if it takes no updates. */
+      readonly held?: Readonly<Record<FeedTopic, string>>;
     }
   /** Requests one state message, after which the stream is closed. */
   | { readonly kind: 'probe'; readonly vm: string }
@@ -162,6 +183,8 @@
   | { readonly kind: 'trial'; readonly trialId: number; readonly traits: blame.IRequestTraits }
   /** Request for the permission to send one request to an endpoint that names a rate limit. */
   | { readonly kind: 'permit'; readonly permitId: number; readonly endpointId: string }
+  /** An update could not be applied: requests the whole text. */
+  | { readonly kind: 'resend'; readonly topic: FeedTopic }
   | { readonly kind: 'alive' };
 
 /** Message from a control VM to an entry VM. */
@@ -182,7 +205,10 @@
       /** Number of entry VMs that were connected to the sender lately, or that one of them knew of. */
       readonly entries: number;
     }
+  | IUpdate
+  /** A configuration, for entry VMs that take no updates. */
   | { readonly kind: 'document'; readonly version: number; readonly text: string }
+  /** An endpoint list, for entry VMs that take no updates. */
   | { readonly kind: 'endpoints'; readonly list: routing.IEndpointList }
   /** Addresses (`ip:port`) of some other entry VMs that connect this one to endpoints. */
   | { readonly kind: 'relays'; readonly relays: readonly string[] }
--- /dev/null
+++ b/src/coordination/testing/FeedVm.ts
@@ -0,0 +1,90 @@
+import * as feedCodec from '../FeedCodec.js';
+import type * as sessionStream from '../SessionStream.js';
+import type * as types from '../Types.js';
+import * as updateReceiver from '../UpdateReceiver.js';
+import * as recordingLog from '../../common/testing/RecordingLogService.js';
+import type * as rateLimitedLink from '../../common/testing/RateLimitedLink.js';
+
+type Listener = (message: types.UpMessage) => void;
+
+/** An entry VM that is connected to a feed server, whose messages arrive over the server's link. */
+export class FeedVm {
+  /** Newest configuration that arrived. */
+  version = 0;
+
+  /** Newest endpoint list that arrived, as JSON. */
+  endpoints = '';
+
+  /** Arrived messages by kind. */
+  readonly received = new Map<string, number>();
+
+  private readonly listeners: Listener[] = [];
+
+  private readonly updates = new updateReceiver.UpdateReceiver(
+    new recordingLog.RecordingLogService(),
+    (topic) => this.send({ kind: 'resend', topic }),
+  );
+
+  /** Creates a VM that is not connected; an earlier build takes no updates. */
+  constructor(
+    readonly name: string,
+    private readonly link: rateLimitedLink.RateLimitedLink,
+    private readonly isEarlierBuild = false,
+  ) {}
+
+  /** The server's side of a new connection. */
+  openStream(): sessionStream.ServerStream {
+    this.listeners.length = 0;
+    const stream = {
+      on: (event: string, listener: Listener) => {
+        if (event === 'data') {
+          this.listeners.push(listener);
+        }
+      },
+      write: (bytes: Buffer, onAccepted: () => void) => {
+        this.link.send(bytes.length, () => {
+          onAccepted();
+          this.receive(feedCodec.decodeDown(bytes));
+        });
+      },
+      end: () => {},
+    };
+    return stream as unknown as sessionStream.ServerStream;
+  }
+
+  /** Sends the first message of a connection. */
+  greet(): void {
+    const held = this.isEarlierBuild ? {} : { held: this.updates.digests };
+    this.send({ kind: 'hello', vm: this.name, version: this.version, ...held });
+  }
+
+  /** Sends a message to the server. */
+  send(message: types.UpMessage): void {
+    this.listeners.forEach((listener) => listener(message));
+  }
+
+  /** Replaces the endpoint list that updates are applied to, as if an update had been missed. */
+  spoilEndpoints(): void {
+    this.updates.set('endpoints', '[]');
+  }
+
+  private receive(message: types.DownMessage): void {
+    this.received.set(message.kind, (this.received.get(message.kind) ?? 0) + 1);
+    if (message.kind === 'update') {
+      this.receiveUpdate(message);
+    } else if (message.kind === 'document') {
+      this.version = message.version;
+    } else if (message.kind === 'endpoints') {
+      this.endpoints = JSON.stringify(message.list.endpoints);
+    }
+  }
+
+  private receiveUpdate(update: types.IUpdate): void {
+    const text = this.updates.apply(update);
+    if (text !== undefined && update.topic === 'document') {
+      this.version = update.version;
+    } else if (text !== undefined) {
+      this.endpoints = text;
+    }
+  }
+}
