Name the kinds of messages in the report on a leader's feed

feed-load gave one sum of bytes for the last second, which can't tell configurations from news of crashes or results. It now lists the bytes of each kind.

--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -506,9 +506,14 @@
 
   private handleLeadership(leads: boolean): void {
     if (!leads) {
-      const { queuedBytes, recentBytes } = this.traffic;
-      const sessions = this.sessions.size;
-      this.deps.logService.warn('feed-load', { sessions, queuedBytes, recentBytes });
+      const { queuedBytes } = this.traffic;
+      const recentBytes = this.traffic.recentBytes.map(([kind, bytes]) => `${kind}=${bytes}`);
+      const fields = {
+        sessions: this.sessions.size,
+        queuedBytes,
+        recentBytes: recentBytes.join(' '),
+      };
+      this.deps.logService.warn('feed-load', fields);
     }
     this.broadcastState();
   }
--- a/src/coordination/FeedTraffic.ts
+++ b/src/coordination/FeedTraffic.ts
@@ -8,7 +8,8 @@
 
 interface IBucket {
   readonly startedAt: commonTypes.Millis;
-  bytes: number;
+  /** Bytes by kind of message. */
+  readonly bytes: Map<string, number>;
 }
 
 /** Counts what the feed of a control VM encodes and sends, in bytes without the framing of gRPC. */
@@ -29,10 +30,12 @@
     return this.queued;
   }
 
-  /** Bytes that were written to streams in the last second. */
-  get recentBytes(): number {
+  /** Bytes that were written to streams in the last second, by kind of message, the most first. */
+  get recentBytes(): readonly (readonly [kind: string, bytes: number])[] {
     this.dropOldBuckets();
-    return this.buckets.reduce((sum, { bytes }) => sum + bytes, 0);
+    const sums = new Map<string, number>();
+    this.buckets.forEach(({ bytes }) => bytes.forEach((each, kind) => add(sums, kind, each)));
+    return [...sums].sort((a, b) => b[1] - a[1]);
   }
 
   /** Records that a message of `kind` was encoded; it may be sent several times. */
@@ -45,14 +48,7 @@
     this.metrics.count('feed_messages_sent', { kind });
     this.metrics.count('feed_bytes_sent', { kind }, bytes);
     this.queued += bytes;
-    const now = this.clock.monotonic();
-    const last = this.buckets.at(-1);
-    if (last !== undefined && now - last.startedAt < BUCKET_MS) {
-      last.bytes += bytes;
-    } else {
-      this.dropOldBuckets();
-      this.buckets.push({ startedAt: now, bytes });
-    }
+    add(this.currentBucket().bytes, kind, bytes);
   }
 
   /** Records that sockets accepted bytes, or that their stream ended. */
@@ -60,8 +56,24 @@
     this.queued -= bytes;
   }
 
+  private currentBucket(): IBucket {
+    const now = this.clock.monotonic();
+    const last = this.buckets.at(-1);
+    if (last !== undefined && now - last.startedAt < BUCKET_MS) {
+      return last;
+    }
+    this.dropOldBuckets();
+    const created = { startedAt: now, bytes: new Map<string, number>() };
+    this.buckets.push(created);
+    return created;
+  }
+
   private dropOldBuckets(): void {
     const oldest = this.clock.monotonic() - WINDOW_MS;
     this.buckets = this.buckets.filter(({ startedAt }) => startedAt > oldest);
   }
 }
+
+function add(sums: Map<string, number>, kind: string, bytes: number): void {
+  sums.set(kind, (sums.get(kind) ?? 0) + bytes);
+}
