Ask a few VMs, not all, for the endpoint list after a change of the coordinator

A new coordinator without a list said wantsEndpoints to each VM that connected, and in each state message, so that each of 200 VMs sent its whole list: 30 KB each, 6 MB, 0.5 s of the coordinator's link of 100 Mbit/s in the first second of its term, in which the answers to its heartbeats come in over the same link.

Now at most three VMs an interval of 250 ms are asked, only those that hold a list (their hello says so; of an earlier build it is not known), others in the next interval until one has answered. What a VM does with wantsEndpoints is unchanged, so builds can be mixed.

FeedLoad "a new coordinator without a list does not ask all VMs for theirs", before: expected 200 to be less than or equal to 4. "asks other VMs when those that it asked do not answer" guards the limit; it also passed before. Simulated only; the share of this in a lost leadership on the platform was not measured.

--- a/src/coordination/FeedLoad.test.ts
+++ b/src/coordination/FeedLoad.test.ts
@@ -2,7 +2,6 @@
 import * as simulatedGroup from '../control/replication/testing/SimulatedGroup.js';
 import type * as controlTypes from '../control/Types.js';
 import * as manualClock from '../common/testing/ManualClock.js';
-import * as rateLimitedLink from '../common/testing/RateLimitedLink.js';
 import type * as routing from '../routing/Types.js';
 import * as feedFleet from './testing/FeedFleet.js';
 import * as feedVm from './testing/FeedVm.js';
@@ -133,8 +132,7 @@
     const first = await startFleet(1);
     const second = await startFleet(0);
     const vm = first.fleet.vms[0] as feedVm.FeedVm;
-    const link = new rateLimitedLink.RateLimitedLink(second.clock, LINK_BYTES_PER_MS);
-    second.fleet.connect(Object.assign(vm, { link }));
+    second.fleet.connect(vm);
     await second.clock.advance(500);
     expect(second.fleet.broadcastCost.bytes).toBeLessThan(500);
     second.fleet.directory.replace(makeList(2));
@@ -145,6 +143,41 @@
   });
 });
 
+test('a new coordinator without a list does not ask all VMs for theirs, and passes one on', async () => {
+  const first = await startFleet(ENTRY_VMS);
+  const { clock } = first;
+  const options = { clock, log: LEADER, linkBytesPerMs: LINK_BYTES_PER_MS };
+  const second = new feedFleet.FeedFleet(options);
+  second.connectNew(ENTRY_VMS);
+  first.fleet.vms.forEach((vm) => second.connect(vm));
+  await clock.advance(1000);
+  const asked = first.fleet.vms.filter(({ sentLists }) => sentLists > 0);
+  expect(asked.length).toBeGreaterThan(0);
+  expect(asked.length).toBeLessThanOrEqual(4);
+  expect(second.directory.current.endpoints).toHaveLength(ENDPOINTS);
+  const list = JSON.stringify(makeList(1).endpoints);
+  expect(second.vms.every(({ endpoints }) => endpoints === list)).toBe(true);
+  first.fleet.dispose();
+  second.dispose();
+});
+
+test('a new coordinator asks other VMs when those that it asked do not answer', async () => {
+  const first = await startFleet(9);
+  const { clock } = first;
+  const options = { clock, log: LEADER, linkBytesPerMs: LINK_BYTES_PER_MS };
+  const second = new feedFleet.FeedFleet(options);
+  first.fleet.vms.forEach((vm, index) => {
+    second.connect(vm);
+    if (index < 8) {
+      Object.assign(vm, { endpoints: '' });
+    }
+  });
+  await clock.advance(2000);
+  expect(second.directory.current.endpoints).toHaveLength(ENDPOINTS);
+  first.fleet.dispose();
+  second.dispose();
+});
+
 test('a VM that cannot apply an update gets the whole list', async () => {
   const { clock, fleet } = await startFleet(2);
   fleet.vms[0]?.spoilEndpoints();
@@ -157,7 +190,7 @@
 
 test('a VM of an earlier build gets whole messages beside VMs that get updates', async () => {
   const { clock, fleet } = await startFleet(2);
-  const vm = new feedVm.FeedVm('earlier', fleet.link, true);
+  const vm = new feedVm.FeedVm('earlier', true);
   fleet.connect(vm);
   submit(fleet, 2);
   fleet.directory.replace(makeList(2));
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -15,6 +15,7 @@
 import * as blameExchange from './BlameExchange.js';
 import * as feedCodec from './FeedCodec.js';
 import * as feedTraffic from './FeedTraffic.js';
+import * as listRequests from './ListRequests.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
@@ -107,6 +108,8 @@
 
   private readonly feeds: topicFeeds.TopicFeeds;
 
+  private readonly listRequests: listRequests.ListRequests;
+
   /** Registers the feed service at `server` and starts to send the state to entry VMs at a fixed interval. */
   constructor(
     server: grpc.Server,
@@ -117,6 +120,7 @@
     this.traffic = new feedTraffic.FeedTraffic(deps.clock, deps.metrics);
     const { clock, broadcastBytesPerMs } = deps;
     this.feeds = new topicFeeds.TopicFeeds(clock, broadcastBytesPerMs, this.traffic);
+    this.listRequests = new listRequests.ListRequests(clock);
     server.addService(feedCodec.FEED_SERVICE, {
       open: (stream: sessionStream.ServerStream) => this.openSession(stream),
     });
@@ -348,7 +352,7 @@
     Object.assign(session, { vm, version });
     this.refreshRole();
     this.deps.logService.info('feed-opened', { vm, version, leads: this.isCoordinating });
-    session.stream.write(this.buildState());
+    session.stream.write(this.buildState(this.mayAsk(session)));
     this.sendDocumentTo(session);
     this.rateLimitExchange.greet((message) => session.stream.write(message));
     this.blameExchange.greet((message) => session.stream.write(message));
@@ -427,14 +431,36 @@
     return this.isCoordinating && this.deps.directory.current.revision > 0;
   }
 
-  private buildState(): types.DownMessage {
+  /** Whether this control VM coordinates and has no endpoint list yet. */
+  private get lacksList(): boolean {
+    return this.isCoordinating && !this.canPlan;
+  }
+
+  /** Whether to ask the VM of a session for its endpoint list. */
+  private mayAsk({ vm, held }: ISession): boolean {
+    const mayHoldList = vm !== '' && held?.get('endpoints') !== '';
+    return this.lacksList && mayHoldList && this.listRequests.take();
+  }
+
+  /** Asks some VMs, drawn at random, for their endpoint list while this coordinator has none. */
+  private askForEndpoints(): void {
+    const { random } = this.deps;
+    const sessions = this.lacksList ? [...this.sessions] : [];
+    sessions
+      .map((session) => ({ session, order: random.next() }))
+      .sort((a, b) => a.order - b.order)
+      .filter(({ session }) => this.mayAsk(session))
+      .forEach(({ session }) => session.stream.write(this.buildState(true)));
+  }
+
+  private buildState(wantsEndpoints = false): types.DownMessage {
     const { term, leaderId, members, role } = this.deps.log.status();
     const leader = members.find((member) => member.id === leaderId)?.address;
     return {
       kind: 'state',
       leads: this.canPlan,
       confirmed: role === 'leader',
-      wantsEndpoints: this.isCoordinating && !this.canPlan,
+      wantsEndpoints,
       term,
       ...(leader === undefined ? {} : { leader }),
       members: members.map((member) => member.address),
@@ -446,6 +472,7 @@
     this.refreshRole();
     this.recentEntryCount.record(this.entryCount);
     this.broadcast(this.buildState());
+    this.askForEndpoints();
     this.broadcastDocument();
   }
 
--- a/src/coordination/testing/FeedFleet.ts
+++ b/src/coordination/testing/FeedFleet.ts
@@ -68,15 +68,13 @@
     if (!this.vms.includes(vm)) {
       this.vms.push(vm);
     }
-    this.open(vm.openStream());
+    this.open(vm.openStream(this.link));
     vm.greet();
   }
 
   /** Connects new entry VMs. */
   connectNew(count: number): void {
-    Array.from({ length: count }, (_, index) =>
-      this.connect(new feedVm.FeedVm(`vm-${index}`, this.link)),
-    );
+    Array.from({ length: count }, (_, index) => this.connect(new feedVm.FeedVm(`vm-${index}`)));
   }
 
   /** Messages, bytes and encodings of the kinds by which configurations and endpoint lists are sent. */
--- a/src/coordination/testing/FeedVm.ts
+++ b/src/coordination/testing/FeedVm.ts
@@ -4,10 +4,11 @@
 import * as updateReceiver from '../UpdateReceiver.js';
 import * as recordingLog from '../../common/testing/RecordingLogService.js';
 import type * as rateLimitedLink from '../../common/testing/RateLimitedLink.js';
+import type * as routing from '../../routing/Types.js';
 
 type Listener = (message: types.UpMessage) => void;
 
-/** An entry VM that is connected to a feed server, whose messages arrive over the server's link. */
+/** An entry VM that is connected to a feed server, over the link of the server. */
 export class FeedVm {
   /** Newest configuration that arrived. */
   version = 0;
@@ -15,6 +16,9 @@
   /** Newest endpoint list that arrived, as JSON. */
   endpoints = '';
 
+  /** Endpoint lists that control VMs requested from it. */
+  sentLists = 0;
+
   /** Arrived messages by kind. */
   readonly received = new Map<string, number>();
 
@@ -28,12 +32,11 @@
   /** Creates a VM that is not connected; an earlier build takes no updates. */
   constructor(
     readonly name: string,
-    private readonly link: rateLimitedLink.RateLimitedLink,
     private readonly isEarlierBuild = false,
   ) {}
 
-  /** The server's side of a new connection. */
-  openStream(): sessionStream.ServerStream {
+  /** The server's side of a new connection, whose messages arrive over `link`. */
+  openStream(link: rateLimitedLink.RateLimitedLink): sessionStream.ServerStream {
     this.listeners.length = 0;
     const stream = {
       on: (event: string, listener: Listener) => {
@@ -42,7 +45,7 @@
         }
       },
       write: (bytes: Buffer, onAccepted: () => void) => {
-        this.link.send(bytes.length, () => {
+        link.send(bytes.length, () => {
           onAccepted();
           this.receive(feedCodec.decodeDown(bytes));
         });
@@ -70,7 +73,9 @@
 
   private receive(message: types.DownMessage): void {
     this.received.set(message.kind, (this.received.get(message.kind) ?? 0) + 1);
-    if (message.kind === 'update') {
+    if (message.kind === 'state') {
+      this.receiveState(message);
+    } else if (message.kind === 'update') {
       this.receiveUpdate(message);
     } else if (message.kind === 'document') {
       this.version = message.version;
@@ -79,6 +84,14 @@
     }
   }
 
+  private receiveState({ wantsEndpoints }: types.DownMessage & { kind: 'state' }): void {
+    if (wantsEndpoints && this.endpoints !== '') {
+      this.sentLists += 1;
+      const endpoints = JSON.parse(this.endpoints) as readonly routing.IEndpoint[];
+      this.send({ kind: 'endpoints', list: { revision: 1, endpoints } });
+    }
+  }
+
   private receiveUpdate(update: types.IUpdate): void {
     const text = this.updates.apply(update);
     if (text !== undefined && update.topic === 'document') {
