Send news of crashes at a limited rate, after configurations

A service of engines of which a fifth goes dark produces that.

News of crashes now go through PacedSender with low priority: configurations and endpoint lists, which have a bound on their time, go first. The last of 200 VMs gets such news about 1.3 s later at most (by the sum); the coordinator, which refuses the plans, knows at once as before.

Not covered: what VMs send up to a new coordinator (docs/CAPACITY.md).

--- a/src/coordination/BlameExchange.ts
+++ b/src/coordination/BlameExchange.ts
@@ -7,6 +7,9 @@
 /** Time after which a request may come again that a control VM without coordination has refused. */
 const NOT_COORDINATING_RETRY_MS = 1000;
 
+/** Message with news on crashes to an entry VM. */
+export type NewsMessage = types.DownMessage & { readonly kind: 'blame' };
+
 /**
  * The part of the feed that concerns crashes: passes what this control VM and each entry VM know to all entry VMs, and
  * admits trials of requests that need no plan.
@@ -20,14 +23,14 @@
   constructor(
     private readonly table: blameTable.BlameTable,
     clock: commonTypes.IClock,
-    broadcast: (message: types.DownMessage) => void,
+    broadcast: (message: NewsMessage) => void,
   ) {
     this.gate = new quarantineGate.QuarantineGate(table, clock, true);
     this.subscription = table.onChange(({ news }) => broadcast({ kind: 'blame', news }));
   }
 
   /** Sends all knowledge to an entry VM that has connected. */
-  greet(send: (message: types.DownMessage) => void): void {
+  greet(send: (message: NewsMessage) => void): void {
     const { news } = this.table;
     if (news.crashes.length > 0) {
       send({ kind: 'blame', news });
--- a/src/coordination/FeedLoad.test.ts
+++ b/src/coordination/FeedLoad.test.ts
@@ -19,6 +19,9 @@
 };
 const ENTRY_VMS = 200;
 const ENDPOINTS = 165;
+/** Engines that crash at once, and requests in each. */
+const CRASHES = 20;
+const SUSPECTS = 16;
 /** Longest time from the acknowledgement of a configuration until it is in force on all VMs. */
 const IN_FORCE_MS = 3000;
 const LEADER = {
@@ -228,3 +231,33 @@
   expect(longestDelay).toBeLessThan(TUNING.heartbeatMs);
   fleet.dispose();
 });
+
+test('news of many crashes at once do not hold up heartbeats on the link, and reach all VMs', async () => {
+  const { clock, fleet } = await startFleet(ENTRY_VMS);
+  const id = (number: number): string => (number * 2_654_435_761).toString(16).padStart(16, '0');
+  let longestDelay = 0;
+  for (let crash = 0; crash < CRASHES; crash++) {
+    const now = clock.monotonic();
+    const suspects = Array.from({ length: SUSPECTS }, (_, index) => {
+      const number = crash * SUSPECTS + index + 1;
+      const parts = [id(number * 3), id(number * 5), id(number * 7)];
+      return { request: id(number), parts, placedAt: now - 500 - index };
+    });
+    fleet.crashes.recordCrash({
+      id: `crash-${crash}`,
+      endpointId: `i-${crash}`,
+      at: now - 20,
+      suspects,
+    });
+    longestDelay = Math.max(longestDelay, fleet.link.delay);
+  }
+  for (let elapsed = 0; elapsed < IN_FORCE_MS; elapsed += 20) {
+    await clock.advance(20);
+    longestDelay = Math.max(longestDelay, fleet.link.delay);
+  }
+  expect(longestDelay).toBeLessThan(TUNING.heartbeatMs);
+  expect(fleet.vms.map(({ received }) => received.get('blame'))).toEqual(
+    Array(ENTRY_VMS).fill(CRASHES),
+  );
+  fleet.dispose();
+});
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -16,6 +16,8 @@
 import * as feedCodec from './FeedCodec.js';
 import * as feedTraffic from './FeedTraffic.js';
 import * as listRequests from './ListRequests.js';
+import * as newsFeed from './NewsFeed.js';
+import * as pacedSender from './PacedSender.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
@@ -108,6 +110,8 @@
 
   private readonly feeds: topicFeeds.TopicFeeds;
 
+  private readonly news: newsFeed.NewsFeed;
+
   private readonly listRequests: listRequests.ListRequests;
 
   /** Registers the feed service at `server` and starts to send the state to entry VMs at a fixed interval. */
@@ -119,7 +123,9 @@
     this.recentEntryCount = new recentMaximum.RecentMaximum(deps.clock, ENTRY_COUNT_WINDOW_MS);
     this.traffic = new feedTraffic.FeedTraffic(deps.clock, deps.metrics);
     const { clock, broadcastBytesPerMs } = deps;
-    this.feeds = new topicFeeds.TopicFeeds(clock, broadcastBytesPerMs, this.traffic);
+    const sender = new pacedSender.PacedSender(clock, broadcastBytesPerMs);
+    this.feeds = new topicFeeds.TopicFeeds(sender, this.traffic);
+    this.news = new newsFeed.NewsFeed(clock, sender, this.traffic);
     this.listRequests = new listRequests.ListRequests(clock);
     server.addService(feedCodec.FEED_SERVICE, {
       open: (stream: sessionStream.ServerStream) => this.openSession(stream),
@@ -138,8 +144,11 @@
         'rejection-limits',
       ),
     );
-    this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, deps.clock, (message) =>
-      this.broadcast(message),
+    this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, clock, ({ news }) =>
+      this.news.send(
+        [...this.sessions].map(({ stream }) => stream),
+        news,
+      ),
     );
     this.relayExchange = new relayExchange.RelayExchange(
       deps.clock,
@@ -152,7 +161,7 @@
       deps.onRelays,
     );
     this.subscriptions.push(
-      this.feeds,
+      sender,
       this.rateLimitExchange,
       this.blameExchange,
       this.relayExchange,
@@ -355,7 +364,7 @@
     session.stream.write(this.buildState(this.mayAsk(session)));
     this.sendDocumentTo(session);
     this.rateLimitExchange.greet((message) => session.stream.write(message));
-    this.blameExchange.greet((message) => session.stream.write(message));
+    this.blameExchange.greet(({ news }) => this.news.send([session.stream], news));
     this.roomExchange.greet((message) => session.stream.write(message));
     this.relayExchange.greet(session.relay, (message) => session.stream.write(message));
     this.sendEndpointsTo(session);
--- a/src/coordination/PacedSender.ts
+++ b/src/coordination/PacedSender.ts
@@ -6,12 +6,15 @@
 /** Sends a message, if it is still needed, and returns its size in bytes. */
 export type SendTask = () => number;
 
+/** Tasks of low priority run while there are no others. */
+export type SendPriority = 'high' | 'low';
+
 /**
  * Sends large messages to many receivers at a limited rate, so that short messages, such as heartbeats, do not wait behind
  * all of them on the link of this VM.
  */
 export class PacedSender implements commonTypes.IDisposable {
-  private tasks: SendTask[] = [];
+  private readonly tasks: Record<SendPriority, SendTask[]> = { high: [], low: [] };
 
   /** Time at which the messages that were sent have left the link at the limited rate. */
   private freeAt: commonTypes.Millis;
@@ -28,9 +31,9 @@
     this.freeAt = clock.monotonic();
   }
 
-  /** Runs `task` once the rate allows it, after all tasks before it. */
-  add(task: SendTask): void {
-    this.tasks.push(task);
+  /** Runs `task` once the rate allows it, after all tasks of the same priority before it. */
+  add(task: SendTask, priority: SendPriority = 'high'): void {
+    this.tasks[priority].push(task);
     if (this.timer === undefined) {
       this.sendDue();
     }
@@ -40,21 +43,30 @@
   dispose(): void {
     this.isDisposed = true;
     this.timer?.dispose();
-    this.tasks = [];
+    this.tasks.high = [];
+    this.tasks.low = [];
   }
 
   private sendDue(): void {
     this.timer = undefined;
     const now = this.clock.monotonic();
     this.freeAt = Math.max(this.freeAt, now);
+    this.runTasks('high', now + BURST_MS);
+    this.runTasks('low', now + BURST_MS);
+    const hasMore = this.tasks.high.length + this.tasks.low.length > 0;
+    if (hasMore && !this.isDisposed) {
+      this.timer = this.clock.setTimer(this.freeAt - now, () => this.sendDue());
+    }
+  }
+
+  /** Runs tasks until what was sent fills the link up to the time `end`. */
+  private runTasks(priority: SendPriority, end: commonTypes.Millis): void {
+    const tasks = this.tasks[priority];
     let count = 0;
-    while (count < this.tasks.length && this.freeAt - now < BURST_MS) {
-      this.freeAt += (this.tasks[count] as SendTask)() / this.bytesPerMs;
+    while (count < tasks.length && this.freeAt < end) {
+      this.freeAt += (tasks[count] as SendTask)() / this.bytesPerMs;
       count += 1;
     }
-    this.tasks.splice(0, count);
-    if (this.tasks.length > 0 && !this.isDisposed) {
-      this.timer = this.clock.setTimer(this.freeAt - now, () => this.sendDue());
-    }
+    tasks.splice(0, count);
   }
 }
--- a/src/coordination/TopicFeeds.ts
+++ b/src/coordination/TopicFeeds.ts
@@ -1,28 +1,23 @@
-import type * as commonTypes from '../common/Types.js';
 import type * as routing from '../routing/Types.js';
 import type * as feedTraffic from './FeedTraffic.js';
-import * as pacedSender from './PacedSender.js';
+import type * as pacedSender from './PacedSender.js';
 import * as sharedText from './SharedText.js';
 import * as topicFeed from './TopicFeed.js';
 import type * as types from './Types.js';
 
-/** The configuration and the endpoint list of a control VM, sent to entry VMs at one limited rate. */
-export class TopicFeeds implements commonTypes.IDisposable {
-  private readonly sender: pacedSender.PacedSender;
-
+/** The configuration and the endpoint list of a control VM, sent to entry VMs. */
+export class TopicFeeds {
   private readonly document: topicFeed.TopicFeed;
 
   private readonly endpoints: topicFeed.TopicFeed;
 
   private list: routing.IEndpointList | undefined;
 
-  /** Sends `bytesPerMs` bytes a millisecond in the mean. */
+  /** Sends through `sender` and counts in `traffic`. */
   constructor(
-    clock: commonTypes.IClock,
-    bytesPerMs: number,
+    private readonly sender: pacedSender.PacedSender,
     private readonly traffic: feedTraffic.FeedTraffic,
   ) {
-    this.sender = new pacedSender.PacedSender(clock, bytesPerMs);
     this.document = this.createFeed('document', (version, text) => ({
       kind: 'document',
       version,
@@ -49,11 +44,6 @@
     this.endpoints.send(receiver);
   }
 
-  /** @inheritdoc */
-  dispose(): void {
-    this.sender.dispose();
-  }
-
   private createFeed(
     topic: types.FeedTopic,
     toWholeMessage: (version: number, text: string) => types.DownMessage,
--- a/src/coordination/testing/FeedFleet.ts
+++ b/src/coordination/testing/FeedFleet.ts
@@ -1,4 +1,5 @@
 import type * as grpc from '@grpc/grpc-js';
+import type * as blameTable from '../../blame/BlameTable.js';
 import * as blame from '../../blame/testing/Blame.js';
 import * as seededRandom from '../../common/SeededRandom.js';
 import * as rateLimitedLink from '../../common/testing/RateLimitedLink.js';
@@ -40,6 +41,9 @@
 
   readonly vms: feedVm.FeedVm[] = [];
 
+  /** Crashes of endpoints that the control VM knows. */
+  readonly crashes: blameTable.BlameTable;
+
   private readonly feed: feedServer.FeedServer;
 
   private readonly coordinator: coordinators.Coordinator;
@@ -58,6 +62,7 @@
       },
     } as unknown as grpc.Server;
     const crashes = blame.makeBlame(clock);
+    this.crashes = crashes.blameTable;
     this.coordinator = this.createCoordinator(crashes);
     this.feed = this.createFeed(server, crashes);
     this.keepAlive();
