--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -77,7 +77,7 @@
   readonly metrics: commonServices.IMetricsService;
   /** Receives the addresses of entry VMs that connect this VM to endpoints. */
   readonly onRelays: (relays: readonly string[]) => void;
-  /** Mean rate at which configurations and endpoint lists are sent to all entry VMs together. */
+  /** Mean rate at which configurations, endpoint lists and news of crashes are sent to all entry VMs together. */
   readonly broadcastBytesPerMs: number;
 }
 
@@ -361,7 +361,7 @@
     Object.assign(session, { vm, version });
     this.refreshRole();
     this.deps.logService.info('feed-opened', { vm, version, leads: this.isCoordinating });
-    session.stream.write(this.buildState(this.mayAsk(session)));
+    session.stream.write(this.buildState(this.takeListRequest(session)));
     this.sendDocumentTo(session);
     this.rateLimitExchange.greet((message) => session.stream.write(message));
     this.blameExchange.greet(({ news }) => this.news.send([session.stream], news));
@@ -445,8 +445,8 @@
     return this.isCoordinating && !this.canPlan;
   }
 
-  /** Whether to ask the VM of a session for its endpoint list. */
-  private mayAsk({ vm, held }: ISession): boolean {
+  /** Whether to ask the VM of a session for its endpoint list now; counts the request. */
+  private takeListRequest({ vm, held }: ISession): boolean {
     const mayHoldList = vm !== '' && held?.get('endpoints') !== '';
     return this.lacksList && mayHoldList && this.listRequests.take();
   }
@@ -458,7 +458,7 @@
     sessions
       .map((session) => ({ session, order: random.next() }))
       .sort((a, b) => a.order - b.order)
-      .filter(({ session }) => this.mayAsk(session))
+      .filter(({ session }) => this.takeListRequest(session))
       .forEach(({ session }) => session.stream.write(this.buildState(true)));
   }
 
--- a/src/coordination/SharedText.ts
+++ b/src/coordination/SharedText.ts
@@ -6,7 +6,7 @@
 
 /** Earlier texts that VMs may still hold; a VM that holds none of them gets the whole text. */
 const MAX_EARLIER_TEXTS = 6;
-/** Longest text, in UTF-16 code units, that is kept as an earlier one; the texts of all VMs together stay within memory. */
+/** Longest text, in UTF-16 code units, that is kept as an earlier one; longer ones would take too much memory. */
 const MAX_EARLIER_LENGTH = 512 * 1024;
 
 /** An encoded message and its kind. */
