--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -85,6 +85,8 @@
     clock,
     random: new seededRandom.SeededRandom(1),
     logService,
+    metrics,
+    broadcastBytesPerMs: Infinity,
     onRelays: () => {},
   });
   const port = await new Promise<number>((resolve, reject) => {
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -15,6 +15,7 @@
 import * as newestConfiguration from './NewestConfiguration.js';
 import type * as streamVersions from './StreamVersions.js';
 import type * as types from './Types.js';
+import * as updateReceiver from './UpdateReceiver.js';
 
 /**
  * A connection without a message for this long is closed. Longer than a search for a successor takes, because an
@@ -173,6 +174,8 @@
   /** Number of the current connection; the coordinator has no plans of earlier connections. */
   private sessionNumber = 0;
 
+  private readonly updates: updateReceiver.UpdateReceiver;
+
   /** Results that a coordinator is to free once one is connected. */
   private unusedResults: batching.IResultRecord[] = [];
 
@@ -187,6 +190,9 @@
     this.connectionPacing = new retryPacing.RetryPacing(clock, random, CONNECTION_INTERVALS);
     this.searchPacing = new retryPacing.RetryPacing(clock, random, SEARCH_INTERVALS);
     this.search = new leaderSearch.LeaderSearch(deps);
+    this.updates = new updateReceiver.UpdateReceiver(deps.logService, (topic) =>
+      this.connection?.write({ kind: 'resend', topic }),
+    );
   }
 
   /** Connects, and reconnects after each loss, until `dispose` is called. */
@@ -398,6 +404,7 @@
       vm,
       version: this.version,
       entries: this.entryCount,
+      held: this.updates.digests,
       ...relay,
     });
     let lastKeepaliveAt = clock.monotonic();
@@ -485,10 +492,15 @@
       case 'state':
         this.handleState(message, address);
         break;
+      case 'update':
+        this.handleUpdate(message);
+        break;
       case 'document':
+        this.updates.set('document', message.text);
         this.documentEmitter.fire(message);
         break;
       case 'endpoints':
+        this.updates.set('endpoints', JSON.stringify(message.list.endpoints));
         this.endpointsEmitter.fire(message.list);
         break;
       case 'relays':
@@ -515,11 +527,25 @@
       case 'permit':
         this.permitEmitter.fire(message.answer);
         break;
-      default: {
-        const pendingPlan = this.pending.get(message.planId);
+      case 'planned':
+        this.pending.get(message.planId)?.resolve(message.outcome);
         this.pending.delete(message.planId);
-        pendingPlan?.resolve(message.outcome);
-      }
+        break;
+      default:
+    }
+  }
+
+  private handleUpdate(update: types.IUpdate): void {
+    const text = this.updates.apply(update);
+    const { topic, version } = update;
+    if (text === undefined) {
+      return;
+    }
+    if (topic === 'document') {
+      this.documentEmitter.fire({ version, text });
+    } else {
+      const endpoints = JSON.parse(text) as readonly routing.IEndpoint[];
+      this.endpointsEmitter.fire({ revision: version, endpoints });
     }
   }
 
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -14,13 +14,17 @@
 import type * as coordinator from './Coordinator.js';
 import * as blameExchange from './BlameExchange.js';
 import * as feedCodec from './FeedCodec.js';
+import * as feedTraffic from './FeedTraffic.js';
+import * as listRequests from './ListRequests.js';
+import * as newsFeed from './NewsFeed.js';
+import * as pacedSender from './PacedSender.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
+import * as sessionStream from './SessionStream.js';
+import * as topicFeeds from './TopicFeeds.js';
 import type * as types from './Types.js';
 
-type Stream = grpc.ServerDuplexStream<types.UpMessage, types.DownMessage>;
-
 /** Interval of the state messages to each entry VM. */
 const STATE_INTERVAL_MS = 250;
 /** A session that has sent no message for this long is closed. */
@@ -41,11 +45,13 @@
 type PlanProgress = 'pending' | 'ready';
 
 interface ISession {
-  readonly stream: Stream;
+  readonly stream: sessionStream.SessionStream;
   vm: string;
   version: number;
   /** Address at which the VM connects others to endpoints; undefined if it does not. */
   relay: string | undefined;
+  /** Digests of the texts that the VM holds; undefined if it takes no updates. */
+  held: Map<types.FeedTopic, string> | undefined;
   lastReceivedAt: commonTypes.Millis;
   /** Plans of the VM that have not ended, by id. */
   readonly plans: Map<string, PlanProgress>;
@@ -68,8 +74,11 @@
   readonly clock: commonTypes.IClock;
   readonly random: commonTypes.IRandom;
   readonly logService: commonServices.ILogService;
+  readonly metrics: commonServices.IMetricsService;
   /** Receives the addresses of entry VMs that connect this VM to endpoints. */
   readonly onRelays: (relays: readonly string[]) => void;
+  /** Mean rate at which configurations, endpoint lists and news of crashes are sent to all entry VMs together. */
+  readonly broadcastBytesPerMs: number;
 }
 
 /**
@@ -97,6 +106,14 @@
 
   private readonly recentEntryCount: recentMaximum.RecentMaximum;
 
+  private readonly traffic: feedTraffic.FeedTraffic;
+
+  private readonly feeds: topicFeeds.TopicFeeds;
+
+  private readonly news: newsFeed.NewsFeed;
+
+  private readonly listRequests: listRequests.ListRequests;
+
   /** Registers the feed service at `server` and starts to send the state to entry VMs at a fixed interval. */
   constructor(
     server: grpc.Server,
@@ -104,8 +121,14 @@
   ) {
     this.leaderSeenAt = deps.clock.monotonic();
     this.recentEntryCount = new recentMaximum.RecentMaximum(deps.clock, ENTRY_COUNT_WINDOW_MS);
+    this.traffic = new feedTraffic.FeedTraffic(deps.clock, deps.metrics);
+    const { clock, broadcastBytesPerMs } = deps;
+    const sender = new pacedSender.PacedSender(clock, broadcastBytesPerMs);
+    this.feeds = new topicFeeds.TopicFeeds(sender, this.traffic);
+    this.news = new newsFeed.NewsFeed(clock, sender, this.traffic);
+    this.listRequests = new listRequests.ListRequests(clock);
     server.addService(feedCodec.FEED_SERVICE, {
-      open: (stream: Stream) => this.openSession(stream),
+      open: (stream: sessionStream.ServerStream) => this.openSession(stream),
     });
     this.rateLimitExchange = new rateLimitExchange.RateLimitExchange(
       deps.rateLimitTable,
@@ -121,24 +144,33 @@
         'rejection-limits',
       ),
     );
-    this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, deps.clock, (message) =>
-      this.broadcast(message),
+    this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, clock, ({ news }) =>
+      this.news.send(
+        [...this.sessions].map(({ stream }) => stream),
+        news,
+      ),
     );
     this.relayExchange = new relayExchange.RelayExchange(
       deps.clock,
       deps.random,
       () =>
-        [...this.sessions].map(({ relay, stream }) => ({ relay, send: stream.write.bind(stream) })),
+        [...this.sessions].map(({ relay, stream }) => ({
+          relay,
+          send: (message) => stream.write(message),
+        })),
       deps.onRelays,
     );
     this.subscriptions.push(
+      sender,
       this.rateLimitExchange,
       this.blameExchange,
       this.relayExchange,
       this.roomExchange,
-      deps.document.onChange(() => this.broadcastDocument()),
-      deps.directory.onChange((list) => this.broadcastEndpoints(list)),
-      deps.log.onLeadership(() => this.broadcastState()),
+      deps.document.onChange((document) => this.handleDocument(document)),
+      deps.directory.onChange(() =>
+        this.sessions.forEach((session) => this.sendEndpointsTo(session)),
+      ),
+      deps.log.onLeadership((leads) => this.handleLeadership(leads)),
     );
     void this.runStateLoop();
   }
@@ -170,14 +202,15 @@
     }
   }
 
-  private openSession(stream: Stream): void {
+  private openSession(stream: sessionStream.ServerStream): void {
     const now = this.deps.clock.monotonic();
     const plans = new Map<string, PlanProgress>();
     const session: ISession = {
-      stream,
+      stream: new sessionStream.SessionStream(stream, this.traffic),
       vm: '',
       version: 0,
       relay: undefined,
+      held: undefined,
       lastReceivedAt: now,
       plans,
       pendingResults: [],
@@ -250,7 +283,10 @@
     switch (message.kind) {
       case 'hello':
         this.recentEntryCount.record(message.entries ?? 0);
-        Object.assign(session, { relay: message.relay });
+        Object.assign(session, {
+          relay: message.relay,
+          held: message.held && new Map(Object.entries(message.held)),
+        });
         this.handleHello(session, message.vm, message.version);
         break;
       case 'probe':
@@ -306,6 +342,9 @@
       case 'trial':
         this.blameExchange.handleTrial(session.vm, message, this.isCoordinating, send);
         break;
+      case 'resend':
+        this.resend(session, message.topic);
+        break;
       case 'permit':
         this.rateLimitExchange.handlePermit(
           message.permitId,
@@ -322,16 +361,13 @@
     Object.assign(session, { vm, version });
     this.refreshRole();
     this.deps.logService.info('feed-opened', { vm, version, leads: this.isCoordinating });
-    session.stream.write(this.buildState());
+    session.stream.write(this.buildState(this.takeListRequest(session)));
     this.sendDocumentTo(session);
     this.rateLimitExchange.greet((message) => session.stream.write(message));
-    this.blameExchange.greet((message) => session.stream.write(message));
+    this.blameExchange.greet(({ news }) => this.news.send([session.stream], news));
     this.roomExchange.greet((message) => session.stream.write(message));
     this.relayExchange.greet(session.relay, (message) => session.stream.write(message));
-    const list = this.deps.directory.current;
-    if (this.canPlan) {
-      session.stream.write({ kind: 'endpoints', list });
-    }
+    this.sendEndpointsTo(session);
   }
 
   private startPlan(session: ISession, plan: types.IPlanRequest): void {
@@ -404,7 +440,29 @@
     return this.isCoordinating && this.deps.directory.current.revision > 0;
   }
 
-  private buildState(): types.DownMessage {
+  /** Whether this control VM coordinates and has no endpoint list yet. */
+  private get lacksList(): boolean {
+    return this.isCoordinating && !this.canPlan;
+  }
+
+  /** Whether to ask the VM of a session for its endpoint list now; counts the request. */
+  private takeListRequest({ vm, held }: ISession): boolean {
+    const mayHoldList = vm !== '' && held?.get('endpoints') !== '';
+    return this.lacksList && mayHoldList && this.listRequests.take();
+  }
+
+  /** Asks some VMs, drawn at random, for their endpoint list while this coordinator has none. */
+  private askForEndpoints(): void {
+    const { random } = this.deps;
+    const sessions = this.lacksList ? [...this.sessions] : [];
+    sessions
+      .map((session) => ({ session, order: random.next() }))
+      .sort((a, b) => a.order - b.order)
+      .filter(({ session }) => this.takeListRequest(session))
+      .forEach(({ session }) => session.stream.write(this.buildState(true)));
+  }
+
+  private buildState(wantsEndpoints = false): types.DownMessage {
     const { term, leaderId, members, role, isStateCurrent } = this.deps.log.status();
     const newestDocument = isStateCurrent ? this.deps.document.current?.version : undefined;
     const leader = members.find((member) => member.id === leaderId)?.address;
@@ -412,7 +470,7 @@
       kind: 'state',
       leads: this.canPlan,
       confirmed: role === 'leader',
-      wantsEndpoints: this.isCoordinating && !this.canPlan,
+      wantsEndpoints,
       term,
       ...(leader === undefined ? {} : { leader }),
       members: members.map((member) => member.address),
@@ -425,6 +483,15 @@
     this.refreshRole();
     this.recentEntryCount.record(this.entryCount);
     this.broadcast(this.buildState());
+    this.askForEndpoints();
+    this.broadcastDocument();
+  }
+
+  private handleDocument({ version, text }: documentState.IDocument): void {
+    if (this.isCoordinating) {
+      const fields = { version, characters: text.length, sessions: this.sessions.size };
+      this.deps.logService.info('config-broadcast', fields);
+    }
     this.broadcastDocument();
   }
 
@@ -448,22 +515,47 @@
       ((this.isCoordinating && isNewest) || isLeaderless)
     ) {
       Object.assign(session, { version: configuration.version });
-      session.stream.write({
-        kind: 'document',
-        version: configuration.version,
-        text: configuration.text,
-      });
+      this.feeds.sendDocument(session, configuration.version, configuration.text);
     }
   }
 
-  private broadcastEndpoints(list: routing.IEndpointList): void {
+  private sendEndpointsTo(session: ISession): void {
     if (this.canPlan) {
-      this.broadcast({ kind: 'endpoints', list });
+      this.feeds.sendEndpoints(session, this.deps.directory.current);
     }
   }
 
+  /** Sends the whole text of a topic to an entry VM that could not apply an update. */
+  private resend(session: ISession, topic: types.FeedTopic): void {
+    session.held?.delete(topic);
+    if (topic === 'document') {
+      Object.assign(session, { version: 0 });
+      this.sendDocumentTo(session);
+    } else {
+      this.sendEndpointsTo(session);
+    }
+  }
+
+  /** Encodes a message once and sends it to all entry VMs. */
   private broadcast(message: types.DownMessage): void {
-    this.sessions.forEach((session) => session.stream.write(message));
+    const { kind } = message;
+    const bytes = feedCodec.encode(message);
+    this.traffic.recordEncoded(kind);
+    this.sessions.forEach(({ stream }) => stream.writeEncoded(kind, bytes));
+  }
+
+  private handleLeadership(leads: boolean): void {
+    if (!leads) {
+      const { queuedBytes } = this.traffic;
+      const recentBytes = this.traffic.recentBytes.map(([kind, bytes]) => `${kind}=${bytes}`);
+      const fields = {
+        sessions: this.sessions.size,
+        queuedBytes,
+        recentBytes: recentBytes.join(' '),
+      };
+      this.deps.logService.warn('feed-load', fields);
+    }
+    this.broadcastState();
   }
 }
 
--- a/src/coordination/LeaderSearch.test.ts
+++ b/src/coordination/LeaderSearch.test.ts
@@ -6,12 +6,11 @@
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
 import * as feedClient from './FeedClient.js';
 import * as feedCodec from './FeedCodec.js';
+import type * as sessionStream from './SessionStream.js';
 import type * as types from './Types.js';
 
 const { afterEach, describe, expect, test } = vitest;
 
-type Stream = grpc.ServerDuplexStream<types.UpMessage, types.DownMessage>;
-
 const CONTROL_VMS = 6;
 const OBSERVED_S = 4;
 /**
@@ -37,7 +36,7 @@
 
   constructor() {
     this.server.addService(feedCodec.FEED_SERVICE, {
-      open: (stream: Stream) => this.serve(stream),
+      open: (stream: sessionStream.ServerStream) => this.serve(stream),
     });
   }
 
@@ -54,7 +53,7 @@
     this.server.forceShutdown();
   }
 
-  private serve(stream: Stream): void {
+  private serve(stream: sessionStream.ServerStream): void {
     this.streamCount += 1;
     stream.on('error', () => {});
     stream.on('end', () => stream.end());
@@ -67,7 +66,8 @@
           term: 1,
           entries: 1,
         } as const;
-        stream.write({ ...base, wantsEndpoints: false, members: [], ...this.state() });
+        const state = { ...base, wantsEndpoints: false, members: [], ...this.state() };
+        stream.write(feedCodec.encode(state));
       }
       if (kind === 'probe') {
         stream.end();
--- a/src/coordination/LeaderSearch.ts
+++ b/src/coordination/LeaderSearch.ts
@@ -54,18 +54,20 @@
   }
 
   /**
-   * Asks PROBES_PER_SEARCH control VMs other than the one at `current`. Resolves with the first leader of a term of at
+   * Asks PROBES_PER_SEARCH control VMs other than the one at `current`, if that is given. Resolves with the first leader of a term of at
    * least `minTerm` that one of them is or names; undefined if there is no such answer within PROBE_TIMEOUT_MS.
    */
-  async find(current: string, minTerm: number): Promise<ILeader | undefined> {
+  async find(current: string | undefined, minTerm: number): Promise<ILeader | undefined> {
     const candidates = Array.from({ length: PROBES_PER_SEARCH }, () => this.nextAddress(current));
-    const addresses = new Set(candidates.filter((address) => (address ?? current) !== current));
+    const addresses = new Set(
+      candidates.filter((address) => address !== undefined && address !== current),
+    );
     const probes = [...addresses].map((address) => this.probe(address as string, current, minTerm));
     return Promise.any(probes).catch(() => undefined);
   }
 
   /** Resolves with the leader that the control VM at `address` is or names; rejects otherwise. */
-  private probe(address: string, current: string, minTerm: number): Promise<ILeader> {
+  private probe(address: string, current: string | undefined, minTerm: number): Promise<ILeader> {
     const { clock, vm } = this.deps;
     const resources: commonTypes.IDisposable[] = [];
     const answer = new Promise<ILeader>((resolve, reject) => {
