--- a/bench/stages/Play.ts
+++ b/bench/stages/Play.ts
@@ -158,7 +158,7 @@
       ...plan,
       planId: id,
       requestId: id,
-      goalLeft: Math.max(1, kind.goalMs - (came - started)),
+      goalLeft: kind.goalMs,
       deadlineLeft: kind.deadlineMs - (came - started),
     });
     if (outcome.kind === 'refused') {
@@ -197,13 +197,26 @@
       stages: kind.stages,
       pieces: kind.items.map((draw) => this.drawItems(draw)),
       pieceKey: id,
-      priority: kind.priority,
+      priority: this.drawPriority(kind),
       prompt: { parts, tokensIn: kind.tokens, tokensOut: 300 },
       avoid: [],
       held: [],
     };
   }
 
+  private drawPriority(kind: types.IKind): number {
+    const { workspaces = [] } = this.scenario;
+    if (workspaces.length === 0) {
+      return kind.priority;
+    }
+    let left = this.random.next();
+    const drawn = workspaces.find(({ share }) => {
+      left -= share;
+      return left < 0;
+    });
+    return drawn?.priority ?? kind.priority;
+  }
+
   private drawItems(draw: types.IItemDraw): number {
     if (this.random.next() >= draw.share) {
       return 0;
--- a/bench/stages/Types.ts
+++ b/bench/stages/Types.ts
@@ -32,6 +32,13 @@
   readonly runMs: number;
 }
 
+/** Callers whose workspace has a priority, which takes precedence over that of the kind. */
+export interface IWorkspaceDraw {
+  /** Share of all requests. */
+  readonly share: number;
+  readonly priority: number;
+}
+
 /** A stage service with its endpoints, one zone each in turn. */
 export interface IStageService {
   readonly name: string;
@@ -54,6 +61,8 @@
   readonly services: readonly IStageService[];
   readonly engines: number;
   readonly kinds: readonly IKind[];
+  /** Workspaces with a priority of their own; the other requests have that of their kind. */
+  readonly workspaces?: readonly IWorkspaceDraw[];
   readonly bursts: readonly IBurst[];
   readonly lengthMs: number;
 }
--- a/bench/stages/scenarios.ts
+++ b/bench/stages/scenarios.ts
@@ -265,6 +265,47 @@
   })),
 };
 
+/** The large deployment as it is played: all callers' workspaces have a priority of their own. */
+function kalinawLargeDay(
+  name: string,
+  factor: number,
+  bursts: readonly types.IBurst[],
+): types.IScenario {
+  return {
+    ...kalinawLarge,
+    name: `kalinaw large, ${name}`,
+    workspaces: [
+      { share: 0.22, priority: 0 },
+      { share: 0.78, priority: 1 },
+    ],
+    kinds: kalinawLarge.kinds.map((kind, at) => ({
+      ...kind,
+      perSecond: kind.perSecond * factor,
+      deadlineMs: [13_900, 13_700, 5500][at] as number,
+      worth: [3.5, 2.2, 0.34][at] as number,
+      lateWorth: [0.53, 0.33, 0.051][at] as number,
+    })),
+    bursts,
+  };
+}
+
+/** The large deployment on a calm day. */
+export const CALM_DAY = kalinawLargeDay('calm day', 0.87, [
+  { kind: 'audit-narrative', fromMs: 3900, untilMs: 9900, factor: 2.5 },
+  { kind: 'member-summary', fromMs: 14_000, untilMs: 20_900, factor: 2.4 },
+  { kind: undefined, fromMs: 26_000, untilMs: 30_000, factor: 1.6 },
+]);
+
+/** The large deployment on a day with a quarter more load. */
+export const BUSY_DAY = kalinawLargeDay('busy day', 1.1, [
+  { kind: 'audit-narrative', fromMs: 4100, untilMs: 10_600, factor: 2.4 },
+  { kind: 'member-summary', fromMs: 15_000, untilMs: 20_200, factor: 2.1 },
+  { kind: undefined, fromMs: 26_000, untilMs: 30_000, factor: 1.7 },
+]);
+
+/** The large deployment on its days. */
+export const LARGE_DAYS: readonly types.IScenario[] = [CALM_DAY, BUSY_DAY];
+
 /** The larger deployments on a day without bursts of load but those named. */
 export const LARGE_SCENARIOS: readonly types.IScenario[] = [rotaGrown, kalinawLarge];
 
--- a/bench/stages/tool.ts
+++ b/bench/stages/tool.ts
@@ -21,7 +21,7 @@
     scenario,
     scenarios.loaded(scenario, 1),
     scenarios.loaded(scenario, 2),
-  ]).concat(scenarios.LARGE_SCENARIOS);
+  ]).concat(scenarios.LARGE_SCENARIOS, scenarios.LARGE_DAYS);
   const planners = [
     ['ours', play.makeCoordinator],
     ['naive', naivePlanner.makeNaive],
