Count room at a stage only against requests whose results need it

Cause: in the burst room for results limits coop-portal: its calls carry 5 to 6 of 8 items, a third of its endpoints is idle, and 290 items wait with 0.8 MB each. Items with results of 8 KB overtake those (BatchChooser), but the admission counted all outstanding items against them, at the throughput that room allows. Three of five entry-classify and all member-summary need no such room.

Change: the demand of a stage is kept by result size too. Items that are overtaken do not delay a request; the others share what calls make beside them. Where room does not limit the stage, the delay is the same as before.

--- a/src/batching/BatchChooser.ts
+++ b/src/batching/BatchChooser.ts
@@ -7,6 +7,7 @@
  */
 import type * as commonTypes from '../common/Types.js';
 import type * as queuedGroup from './QueuedGroup.js';
+import * as stageDemand from './StageDemand.js';
 import type * as types from './Types.js';
 
 /**
@@ -21,8 +22,6 @@
  * their goal.
  */
 const FREES_ROOM_BONUS_MS = 500_000;
-/** Results below this ratio of the result size of a group that waits for room may overtake it. */
-const OVERTAKING_SIZE_RATIO = 0.1;
 /**
  * A group does not start while its results would queue longer than this for the next stages, unless it frees
  * room; about three calls.
@@ -173,7 +172,10 @@
       itemsLeft -= count;
       unreservedFree -= queued.isStarted ? 0 : neededBytes;
     } else {
-      maxOvertakingBytes = Math.min(maxOvertakingBytes, resultBytes * OVERTAKING_SIZE_RATIO);
+      maxOvertakingBytes = Math.min(
+        maxOvertakingBytes,
+        resultBytes * stageDemand.OVERTAKING_SIZE_RATIO,
+      );
     }
     if (itemsLeft === 0) {
       break;
--- a/src/batching/StageJob.ts
+++ b/src/batching/StageJob.ts
@@ -366,8 +366,8 @@
   }
 
   private addDemand(stagePosition: number, count: number): void {
-    const { service } = this.request.stages[stagePosition] as routing.IStage;
-    this.schedulerOf(service)?.addDemand(this.request.priority, count);
+    const { service, resultBytes } = this.request.stages[stagePosition] as routing.IStage;
+    this.schedulerOf(service)?.addDemand(this.request.priority, count, resultBytes);
   }
 }
 
--- a/src/batching/StageScheduler.ts
+++ b/src/batching/StageScheduler.ts
@@ -115,16 +115,20 @@
   }
 
   /** Adds `count` items to the outstanding demand of a priority; a negative count removes them. */
-  addDemand(priority: number, count: number): void {
-    this.demand.add(priority, count);
+  addDemand(priority: number, count: number, resultBytes: number): void {
+    this.demand.add(priority, count, resultBytes);
   }
 
   /**
-   * Estimated time in milliseconds to complete the outstanding items of this and more urgent priorities,
-   * queued or not.
+   * Estimated time in milliseconds to complete the outstanding items, queued or not, that go before an item of this
+   * priority with a result of `resultBytes`.
    */
-  demandDelay(priority: number): commonTypes.Millis {
-    return this.demand.delayFor(priority, this.estimateThroughput());
+  demandDelay(priority: number, resultBytes: number): commonTypes.Millis {
+    const slowdowns = this.unblockedSlowdowns();
+    return this.demand.delayFor(priority, resultBytes, {
+      items: this.throughput.estimate(slowdowns, this.limits),
+      smallItems: stageThroughput.callThroughput(slowdowns, this.limits),
+    });
   }
 
   /** Estimated time in milliseconds to start the queued items of this and more urgent priorities. */
@@ -186,15 +190,19 @@
 
   /** Estimated throughput of all unblocked endpoints, in items per millisecond. */
   private estimateThroughput(): number {
+    return this.throughput.estimate(this.unblockedSlowdowns(), this.limits);
+  }
+
+  /** Slowdown of each unblocked endpoint. */
+  private unblockedSlowdowns(): readonly number[] {
     const now = this.dependencies.clock.monotonic();
     const unblocked = [...this.replicas.values()].filter(
       (replica) => replica.remainingBlock(now) === 0,
     );
     const { rateLimiter } = this.dependencies;
-    const slowdowns = unblocked.map((replica) =>
+    return unblocked.map((replica) =>
       replicaChoice.effectiveSlowdown(replica, this.limits, rateLimiter),
     );
-    return this.throughput.estimate(slowdowns, this.limits);
   }
 
   /**
--- a/src/batching/StageThroughput.ts
+++ b/src/batching/StageThroughput.ts
@@ -37,9 +37,8 @@
    * speed.
    */
   estimate(slowdowns: readonly number[], limits: routing.IBatchLimits): number {
-    const { callCost, itemCost, maxItemsPerCall, resultCapacityBytes } = limits;
-    const totalSpeed = slowdowns.reduce((sum, slowdown) => sum + 1 / slowdown, 0);
-    const callBound = (totalSpeed * maxItemsPerCall) / (callCost + itemCost * maxItemsPerCall);
+    const { resultCapacityBytes } = limits;
+    const callBound = callThroughput(slowdowns, limits);
     const byteMsPerItem = this.averageResultBytes * Math.max(1, this.averageHoldTime);
     const roomBound = (slowdowns.length * resultCapacityBytes) / Math.max(1, byteMsPerItem);
     return Math.min(
@@ -84,3 +83,18 @@
     }
   }
 }
+
+/**
+ * Items per millisecond that full calls produce, whatever room their results need; `slowdowns` holds one factor per
+ * usable endpoint, 1 at the declared speed.
+ *
+ * @example
+ * const rate = callThroughput([1, 1, 1.2], service.batch);
+ */
+export function callThroughput(
+  slowdowns: readonly number[],
+  { callCost, itemCost, maxItemsPerCall }: routing.IBatchLimits,
+): number {
+  const totalSpeed = slowdowns.reduce((sum, slowdown) => sum + 1 / slowdown, 0);
+  return (totalSpeed * maxItemsPerCall) / (callCost + itemCost * maxItemsPerCall);
+}
--- a/src/coordination/PlanAdmission.ts
+++ b/src/coordination/PlanAdmission.ts
@@ -63,7 +63,8 @@
       Math.max(
         0,
         ...missingStages.map(
-          ({ scheduler }) => scheduler?.demandDelay(priority) ?? Number.POSITIVE_INFINITY,
+          ({ scheduler, stage: { resultBytes } }) =>
+            scheduler?.demandDelay(priority, resultBytes) ?? Number.POSITIVE_INFINITY,
         ),
       );
     const refusal =
