Do not count work that a stage completes before a request reaches it

Refused callers are told to come back after 0.3 of their time, later than what is left of their goal: all 33 that were served on the second try were late, nearly all that were admitted at once were in time.

Cause: the outstanding items of a later stage are mostly still in earlier stages. Ruled out there: the engines, calls that are not full, the measured throughput.

Change: what a stage completes until the request comes there is taken off its delay, as far as it keeps up: in full where groups start at once, not at all where they wait for a call or longer.

--- a/bench/stages/Stages.test.ts
+++ b/bench/stages/Stages.test.ts
@@ -13,6 +13,8 @@
 const LEAST_AT_ONCE = 0.95;
 /** Target of the requests answered within their goal while the stages have room for all. */
 const LEAST_IN_TIME = 0.95;
+/** Operators' floor of the credit of each kind on a calm day, the highest of their days. */
+const LEAST_CREDIT_OF_KIND = 0.44;
 /** Largest difference by which a kind may be served less often than a less urgent one. */
 const MAX_BEHIND = 0.05;
 /** Target of the bytes of results that cross availability zones on the sheets' load. */
@@ -28,9 +30,7 @@
 }
 
 describe.each(scenarios.SCENARIOS)('$name under its usual load', (scenario) => {
-  // KNOWN-RED.txt, 28: runs with ANVILDECK_KNOWN_RED=1.
-  const isRed = scenario.name === 'kalinaw' && !showsRed;
-  test.skipIf(isRed)('is served in time, long chains of stages too', async () => {
+  test('is served in time, long chains of stages too', async () => {
     const calm = scenarios.loaded(scenario, 1);
     const ours = await new play.Play(calm, SEED, play.makeCoordinator).run();
     ours.kinds.forEach(({ kind, inTime, asked }) => {
@@ -40,8 +40,7 @@
 });
 
 describe.each(scenarios.LARGE_SCENARIOS)('$name under its usual load', (scenario) => {
-  // KNOWN-RED.txt, 28: runs with ANVILDECK_KNOWN_RED=1.
-  test.skipIf(!showsRed)('serves urgent kinds as often as less urgent ones', async () => {
+  test('serves urgent kinds as often as less urgent ones', async () => {
     const calm = scenarios.loaded(scenario, 1);
     const ours = await new play.Play(calm, SEED, play.makeCoordinator).run();
     const shares = calm.kinds
@@ -57,6 +56,26 @@
   });
 });
 
+describe('kalinaw large on its calm day', () => {
+  test('serves the cheapest kind in time, though its chain of stages is long', async () => {
+    const ours = await new play.Play(scenarios.CALM_DAY, SEED, play.makeCoordinator).run();
+    ours.kinds.forEach(({ kind, inTime, asked }) => {
+      expect(inTime / asked, kind).toBeGreaterThanOrEqual(LEAST_IN_TIME);
+    });
+    const { atOnce, all } = refused(ours);
+    expect(atOnce).toBeGreaterThanOrEqual(LEAST_AT_ONCE * all);
+  });
+});
+
+describe.each(scenarios.LARGE_DAYS)('$name', (scenario) => {
+  test('earns the least credit that operators ask of each kind', async () => {
+    const ours = await new play.Play(scenario, SEED, play.makeCoordinator).run();
+    ours.kinds.forEach(({ kind, credit, owed }) => {
+      expect(credit / owed, kind).toBeGreaterThanOrEqual(LEAST_CREDIT_OF_KIND);
+    });
+  });
+});
+
 describe.each(scenarios.SCENARIOS)('$name on its day', (scenario) => {
   // KNOWN-RED.txt, 7: runs with ANVILDECK_KNOWN_RED=1.
   test.skipIf(!showsRed)('moves few results between availability zones', async () => {
--- a/src/batching/StageEstimate.ts
+++ b/src/batching/StageEstimate.ts
@@ -29,3 +29,26 @@
   };
   return timeFrom(position);
 }
+
+/**
+ * Estimated time in milliseconds until a request that is not queued yet, and whose first stages have no results, reaches
+ * the stage at `position`; 0 for a stage without dependencies.
+ *
+ * @example
+ * const reachedIn = estimateArrival(route.stages, [1, 4], 1, (service) => schedulers.get(service));
+ */
+export function estimateArrival(
+  stages: readonly routing.IStage[],
+  itemCounts: readonly number[],
+  position: number,
+  schedulerOf: (service: string) => stageScheduler.StageScheduler | undefined,
+): commonTypes.Millis {
+  const { after } = stages[position] as routing.IStage;
+  const inputTimes = after.map((at) => {
+    const scheduler = schedulerOf((stages[at] as routing.IStage).service);
+    const hasItems = (itemCounts[at] ?? 0) > 0;
+    const time = hasItems ? (scheduler?.averageWait ?? 0) + (scheduler?.typicalCallTime ?? 0) : 0;
+    return time + estimateArrival(stages, itemCounts, at, schedulerOf);
+  });
+  return Math.max(0, ...inputTimes);
+}
--- a/src/batching/StageScheduler.ts
+++ b/src/batching/StageScheduler.ts
@@ -139,6 +139,15 @@
     return itemsAhead === 0 ? 0 : itemsAhead / this.estimateThroughput();
   }
 
+  /**
+   * Ratio of the queueing time of this and more urgent priorities to a call, at most 1; near 0 if the stage completes
+   * items as fast as they come.
+   */
+  backlogRatio(priority: number): number {
+    const wait = Math.max(this.smoothedWait, this.queueDelay(priority));
+    return Math.min(1, wait / Math.max(1, this.typicalCallTime));
+  }
+
   /** Applies a new list of the service's endpoints, and its limits. */
   updateEndpoints(endpoints: readonly routing.IEndpoint[], limits: routing.IBatchLimits): void {
     this.limits = limits;
--- a/src/coordination/PlanAdmission.ts
+++ b/src/coordination/PlanAdmission.ts
@@ -3,6 +3,7 @@
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import * as enginePlacer from '../placing/EnginePlacer.js';
+import type * as routing from '../routing/Types.js';
 import type * as types from './Types.js';
 
 /** Minimum `retryAfter` of a refusal. */
@@ -62,10 +63,7 @@
     const queueDelay = (priority: number): commonTypes.Millis =>
       Math.max(
         0,
-        ...missingStages.map(
-          ({ scheduler, stage: { resultBytes } }) =>
-            scheduler?.demandDelay(priority, resultBytes) ?? Number.POSITIVE_INFINITY,
-        ),
+        ...missingStages.map(({ at }) => this.delayAt(req, at, priority, held.length > 0)),
       );
     const refusal =
       missingStages.length === 0
@@ -74,6 +72,27 @@
     return refusal ?? this.checkEngines(req, stageTime + queueDelay(req.priority));
   }
 
+  /**
+   * Time that the outstanding items of a stage delay a request. Most of those items are still in earlier stages, as the
+   * request is: a stage that keeps up completes them before the request reaches it.
+   */
+  private delayAt(
+    { stages, pieces }: types.IPlanRequest,
+    at: number,
+    priority: number,
+    hasResults: boolean,
+  ): commonTypes.Millis {
+    const { schedulerOf } = this.deps;
+    const { service, resultBytes } = stages[at] as routing.IStage;
+    const scheduler = schedulerOf(service);
+    if (scheduler === undefined) {
+      return Number.POSITIVE_INFINITY;
+    }
+    const arrival = hasResults ? 0 : stageEstimate.estimateArrival(stages, pieces, at, schedulerOf);
+    const completedBefore = arrival * (1 - scheduler.backlogRatio(priority));
+    return Math.max(0, scheduler.demandDelay(priority, resultBytes) - completedBefore);
+  }
+
   private static checkStages(
     req: types.IPlanRequest,
     stageTime: commonTypes.Millis,
