Refuse a plan that fails for an unexpected error, in place of ending the coordinator

Cause: FeedServer.sendOutcome awaited the coordinator's plan without a handler, so that any error in planning was an unhandled rejection, which ends the process: the caller who comes back ends the successor. The one known way (a huge number of items) is closed at the entry; this closes the others. Feed.test.ts failed before: RangeError: Invalid array length (unhandled), and no answer to the VM.

--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -222,6 +222,28 @@
   expect(cancel).not.toHaveBeenCalledWith('r#1');
 });
 
+test('a plan that fails for an unexpected error is refused and does not end the coordinator', async () => {
+  const { address, coordinator } = await startLeader();
+  vitest.vi.spyOn(coordinator, 'plan').mockRejectedValue(new RangeError('Invalid array length'));
+  const client = startClient('a', () => [address]);
+  await until(() => client.isConnected);
+  const planned = await client.plan({
+    planId: 'r#1',
+    requestId: 'r',
+    service: 's',
+    stages: [],
+    pieces: [],
+    pieceKey: '',
+    priority: 0,
+    goalLeft: 5000,
+    deadlineLeft: 20_000,
+    prompt: { parts: [], tokensIn: 1, tokensOut: 1 },
+    avoid: [],
+    held: [],
+  });
+  expect(planned).toMatchObject({ kind: 'refused', reason: 'stage-failed' });
+});
+
 test('a quarantine reaches all VMs, and each new coordinator, and its end does', async () => {
   const first = await startLeader();
   const second = await startLeader();
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -41,6 +41,9 @@
 /** Time for which the highest number of entry VMs is reported, so that it does not fall while they change connections. */
 const ENTRY_COUNT_WINDOW_MS = 10_000;
 
+/** Time after which the caller of a plan that failed for an unexpected error may come back. */
+const FAILED_PLAN_RETRY_MS = 1000;
+
 /** Whether the VM of a session knows the outcome of a plan. */
 type PlanProgress = 'pending' | 'ready';
 
@@ -407,7 +410,7 @@
     planId: string,
     pending: Promise<types.PlanOutcome>,
   ): Promise<void> {
-    const outcome = await pending;
+    const outcome = await pending.catch((err: Error) => this.refuseFailed(planId, err));
     if (outcome.kind === 'refused') {
       session.plans.delete(planId);
     }
@@ -419,6 +422,12 @@
     }
   }
 
+  /** Refuses a plan that the coordinator could not make because of an unexpected error. */
+  private refuseFailed(planId: string, err: Error): types.PlanOutcome {
+    this.deps.logService.error('plan-failed', { plan: planId, reason: err.stack });
+    return { kind: 'refused', reason: 'stage-failed', retryAfter: FAILED_PLAN_RETRY_MS };
+  }
+
   private refreshRole(): void {
     const { log, clock } = this.deps;
     const { role, leaderId, id } = log.status();
