Reach a named leader without the pause of earlier attempts; keep hints by their term

A review of the search for a coordinator, by reading and a model of it: a VM to which a follower named the new leader waited out the interval of its earlier attempts, up to 3 s; a new leader that needs over 0.7 s for its first message was tried and left again and again, since a follower's message reset the doubled timeout and the leader counted as out of reach in the former term only; a follower that knows no leader erased what a search had found; terms of a group that was founded anew were ignored for good. Change: at most 0.2 s beside the spread of all VMs before a connection to a named leader; a leader out of reach is remembered with the term in which it was tried; hints are kept by term; the term is forgotten after a connection without any leader. Also from the review: items with small results are not overtaking large ones while calls, not room, are the limit; a plan that failed is cancelled; a sender's task that throws is not run again; VMs share an encoded news of crashes for 50 ms, where on a real clock each had its own.

--- a/src/batching/StageDemand.test.ts
+++ b/src/batching/StageDemand.test.ts
@@ -42,6 +42,12 @@
     expect(demand.delayFor(1, RESULT_BYTES, throughput)).toBeLessThan(200);
   });
 
+  it('delays the first item with a small result while large ones use all calls', () => {
+    const demand = new stageDemand.StageDemand(new manualClock.ManualClock());
+    demand.add(1, 100, 100 * RESULT_BYTES);
+    expect(demand.delayFor(1, RESULT_BYTES, THROUGHPUT)).toBeCloseTo(1000);
+  });
+
   it('delays items with small results as much as large ones while calls are the limit', () => {
     const demand = new stageDemand.StageDemand(new manualClock.ManualClock());
     demand.add(1, 90, 100 * RESULT_BYTES);
--- a/src/batching/StageDemand.ts
+++ b/src/batching/StageDemand.ts
@@ -62,11 +62,12 @@
     const itemsAhead = countItems(levels);
     const maxBytes = resultBytes / OVERTAKING_SIZE_RATIO;
     const notOvertaken = countItems(levels.filter((level) => level.resultBytes <= maxBytes));
-    if (notOvertaken === 0) {
+    if (itemsAhead === 0) {
       return 0;
     }
     const delay = itemsAhead / this.rateFor(priority, throughput.items);
-    if (notOvertaken === itemsAhead) {
+    const isRoomLimit = throughput.smallItems > throughput.items;
+    if (notOvertaken === itemsAhead || !isRoomLimit) {
       return delay;
     }
     const rateOfRest = Math.max(
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -41,6 +41,8 @@
  * and each waits for a random part of what all of them take.
  */
 const ACCEPT_MS = 2;
+/** Longest pause, beside that, before a connection to a leader that was named. */
+const MAX_NAMED_DELAY_MS = 200;
 /** Interval of the keepalive messages to the coordinator. */
 const KEEPALIVE_INTERVAL_MS = 1000;
 /** A VM whose control VM names no leader asks others too from this time on. */
@@ -378,16 +380,21 @@
         await this.runSession(address);
         previous = address;
       }
-      await clock
-        .sleep(Math.max(this.acceptDelay, this.connectionPacing.delay), signal)
-        .catch(() => {});
+      await clock.sleep(this.nextDelay, signal).catch(() => {});
     }
   }
 
-  /** Random part of the time that a leader which all entry VMs have just found takes to accept them. */
-  private get acceptDelay(): commonTypes.Millis {
-    const isFound = this.hints.address !== undefined;
-    return isFound ? this.deps.random.next() * this.entryCount * ACCEPT_MS : CHECK_INTERVAL_MS;
+  /**
+   * Time until the next connection. To a leader that was named it is a random part of the time that the leader takes to
+   * accept all entry VMs, which find it at the same time.
+   */
+  private get nextDelay(): commonTypes.Millis {
+    const { delay } = this.connectionPacing;
+    if (this.hints.address === undefined) {
+      return Math.max(CHECK_INTERVAL_MS, delay);
+    }
+    const acceptDelay = this.deps.random.next() * this.entryCount * ACCEPT_MS;
+    return Math.max(acceptDelay, Math.min(delay, MAX_NAMED_DELAY_MS));
   }
 
   /** Runs one connection until it ends, then fails the plans that wait for an outcome. */
@@ -448,11 +455,12 @@
     const { clock, logService, metrics } = this.deps;
     const { address, endReason, hasReceived } = connection;
     const isSilent = endReason === 'silent';
-    if (hasReceived) {
-      this.silentConnections = 0;
-    } else if (isSilent) {
+    if (!hasReceived && isSilent) {
       this.silentConnections += 1;
     }
+    if (endReason === 'no-leader') {
+      this.hints.forgetTerm();
+    }
     if (!hasReceived || isSilent) {
       this.hints.recordUnreachable(address);
     } else if (this.hasCoordinator && this.hints.address === undefined) {
@@ -564,6 +572,7 @@
     this.isCoordinatorConfirmed = state.confirmed;
     if (state.leads && state.confirmed) {
       this.hints.recordCoordinator({ address, term: state.term });
+      this.silentConnections = 0;
       this.connectionPacing.reset();
       this.searchPacing.reset();
     } else if (!state.leads) {
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -425,6 +425,7 @@
   /** Refuses a plan that the coordinator could not make because of an unexpected error. */
   private refuseFailed(planId: string, err: Error): types.PlanOutcome {
     this.deps.logService.error('plan-failed', { plan: planId, reason: err.stack });
+    this.deps.coordinator.cancel(planId);
     return { kind: 'refused', reason: 'stage-failed', retryAfter: FAILED_PLAN_RETRY_MS };
   }
 
--- a/src/coordination/LeaderHints.ts
+++ b/src/coordination/LeaderHints.ts
@@ -13,6 +13,9 @@
 
   private newestTerm = 0;
 
+  /** The leader that was named last before a connection to it was tried. */
+  private tried: leaderSearch.ILeader | undefined;
+
   private unreachable: (leaderSearch.ILeader & { readonly until: commonTypes.Millis }) | undefined;
 
   /** Starts without a hint. */
@@ -30,29 +33,36 @@
 
   /** Returns the address of the leader that was named last, and forgets it. */
   take(): string | undefined {
-    const { address } = this;
+    this.tried = this.latest;
     this.latest = undefined;
-    return address;
+    return this.tried?.address;
   }
 
   /** Records whom a control VM named; a leader of an earlier term than a known one, or one out of reach, is ignored. */
   record(leader: leaderSearch.ILeader | undefined): void {
-    this.latest =
-      leader === undefined || leader.term < this.newestTerm || this.isUnreachable(leader)
-        ? undefined
-        : leader;
+    const minTerm = Math.max(this.newestTerm, this.latest?.term ?? 0);
+    if (leader !== undefined && leader.term >= minTerm && !this.isUnreachable(leader)) {
+      this.latest = leader;
+    }
   }
 
   /** Records a coordinator that is connected and has a quorum. */
   recordCoordinator({ term }: leaderSearch.ILeader): void {
-    this.newestTerm = Math.max(this.newestTerm, term);
+    this.newestTerm = term;
     this.latest = undefined;
   }
 
   /** Records that the control VM at `address` did not answer. */
   recordUnreachable(address: string): void {
     const until = this.clock.monotonic() + UNREACHABLE_MS;
-    this.unreachable = { address, term: this.newestTerm, until };
+    const triedTerm = this.tried?.address === address ? this.tried.term : 0;
+    this.unreachable = { address, term: Math.max(this.newestTerm, triedTerm), until };
+    this.latest = this.latest?.address === address ? undefined : this.latest;
+  }
+
+  /** Forgets the latest term, because no leader was found for long: a group that was founded anew counts from 1. */
+  forgetTerm(): void {
+    this.newestTerm = 0;
   }
 
   private isUnreachable({ address, term }: leaderSearch.ILeader): boolean {
--- a/src/coordination/NewsFeed.ts
+++ b/src/coordination/NewsFeed.ts
@@ -6,6 +6,9 @@
 import type * as pacedSender from './PacedSender.js';
 import type * as sessionStream from './SessionStream.js';
 
+/** VMs that get news within this time share the encoded message, whose ages are then low by as much. */
+const SHARED_FOR_MS = 50;
+
 interface IEncodedNews {
   readonly at: commonTypes.Millis;
   readonly bytes: Buffer;
@@ -26,7 +29,7 @@
     let encoded: IEncodedNews | undefined;
     const encode = (): Buffer => {
       const at = this.clock.monotonic();
-      if (encoded?.at !== at) {
+      if (encoded === undefined || at - encoded.at > SHARED_FOR_MS) {
         const aged = agedNews.ageNews(news, at - madeAt);
         encoded = { at, bytes: feedCodec.encode({ kind: 'blame', news: aged }) };
         this.traffic.recordEncoded('blame');
--- a/src/coordination/PacedSender.ts
+++ b/src/coordination/PacedSender.ts
@@ -63,10 +63,14 @@
   private runTasks(priority: SendPriority, end: commonTypes.Millis): void {
     const tasks = this.tasks[priority];
     let count = 0;
-    while (count < tasks.length && this.freeAt < end) {
-      this.freeAt += (tasks[count] as SendTask)() / this.bytesPerMs;
-      count += 1;
+    try {
+      while (count < tasks.length && this.freeAt < end) {
+        const task = tasks[count] as SendTask;
+        count += 1;
+        this.freeAt += task() / this.bytesPerMs;
+      }
+    } finally {
+      tasks.splice(0, count);
     }
-    tasks.splice(0, count);
   }
 }
