Do not reject a request for good by limits that may be old

A caller does not come back after these. They are answered 503 with Retry-After 0.3 s now while the VM does not know that it holds the newest configuration.

--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -67,6 +67,11 @@
     return this.index?.table.limits;
   }
 
+  /** Whether it is known that no configuration newer than the one in force exists. */
+  get isCurrent(): boolean {
+    return this.index !== undefined && this.deps.isConfigurationCurrent(this.version);
+  }
+
   /** Number of requests whose response is not complete. */
   get openRequests(): number {
     return this.openScopes.size;
@@ -250,7 +255,7 @@
     responder: types.IResponder,
     rejection: types.Rejection,
   ): void {
-    if (this.deps.isConfigurationCurrent(this.version)) {
+    if (this.isCurrent) {
       this.reject(request, responder, rejection);
     } else {
       this.reject(request, responder, 'config-unconfirmed', NOT_READY_RETRY_AFTER_MS, rejection);
