--- a/src/coordination/LeaderHints.test.ts
+++ b/src/coordination/LeaderHints.test.ts
@@ -14,7 +14,7 @@
     hints.recordCoordinator({ address: 'former', term: 5 });
   });
 
-  test('does not follow the word of a cut-off follower back to a leader of an earlier term', () => {
+  test('ignores a leader of an earlier term that a cut-off follower reports', () => {
     hints.record({ address: 'earlier', term: 4 });
     expect(hints.address).toBeUndefined();
     hints.record({ address: 'next', term: 6 });
@@ -29,7 +29,7 @@
     expect(hints.address).toBeUndefined();
   });
 
-  test('does not return at once to a new leader that did not answer, on the word of followers', async () => {
+  test('does not return at once to a new leader that did not answer, though followers report it', async () => {
     hints.record({ address: 'next', term: 6 });
     expect(hints.take()).toBe('next');
     hints.recordUnreachable('next');
--- a/src/coordination/LeaderHints.ts
+++ b/src/coordination/LeaderHints.ts
@@ -1,19 +1,16 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as leaderSearch from './LeaderSearch.js';
 
-/**
- * Time for which nobody's word leads back to a leader that could not be reached; followers name it until they elect
- * another one.
- */
+/** Time for which a leader that did not answer is not tried again; followers report it until they elect another one. */
 const UNREACHABLE_MS = 1000;
 
-/** What control VMs say of the leader, and which of it an entry VM believes. */
+/** The leader that control VMs report. Ignores reports that are outdated or name a leader that did not answer. */
 export class LeaderHints {
   private latest: leaderSearch.ILeader | undefined;
 
   private newestTerm = 0;
 
-  /** The leader that was named last before a connection to it was tried. */
+  /** The reported leader to which a connection was tried last. */
   private tried: leaderSearch.ILeader | undefined;
 
   private unreachable: (leaderSearch.ILeader & { readonly until: commonTypes.Millis }) | undefined;
@@ -26,19 +23,19 @@
     return this.newestTerm;
   }
 
-  /** Address of the leader that was named last; undefined if none is believed to lead. */
+  /** Address of the reported leader; undefined if there is no valid report. */
   get address(): string | undefined {
     return this.latest?.address;
   }
 
-  /** Returns the address of the leader that was named last, and forgets it. */
+  /** Returns the address of the reported leader, and discards the report. */
   take(): string | undefined {
     this.tried = this.latest;
     this.latest = undefined;
     return this.tried?.address;
   }
 
-  /** Records whom a control VM named; a leader of an earlier term than a known one, or one out of reach, is ignored. */
+  /** Records the leader that a control VM reported; ignored if its term is over or it did not answer lately. */
   record(leader: leaderSearch.ILeader | undefined): void {
     const minTerm = Math.max(this.newestTerm, this.latest?.term ?? 0);
     if (leader !== undefined && leader.term >= minTerm && !this.isUnreachable(leader)) {
--- a/src/coordination/NewestConfiguration.ts
+++ b/src/coordination/NewestConfiguration.ts
@@ -1,24 +1,24 @@
 import type * as commonTypes from '../common/Types.js';
 
 /**
- * Time for which the word of a leader holds: four of its state messages, and less than a change of the configuration may
- * take to be in force.
+ * Age up to which a leader's report is valid: four state messages, and less than the time within which a configuration
+ * must be in force.
  */
 const VALIDITY_MS = 1000;
 
-/** What a leader with a quorum said last of the newest version of the configuration. */
+/** Newest version of the configuration, as a leader with a quorum reported it last. */
 export class NewestConfiguration {
   private latest: { readonly version: number; readonly at: commonTypes.Millis } | undefined;
 
-  /** Starts without knowledge. */
+  /** Starts without a report. */
   constructor(private readonly clock: commonTypes.IClock) {}
 
-  /** Records the newest version, as a leader with a quorum has just named it. */
+  /** Records a report of a leader with a quorum. */
   record(version: number): void {
     this.latest = { version, at: this.clock.monotonic() };
   }
 
-  /** Whether no newer version than `version` was in force when a leader spoke last, which was not long ago. */
+  /** Whether a valid report names no newer version than `version`. */
   isCurrent(version: number): boolean {
     const { latest } = this;
     return (
