Let followers hand newer configurations to entry VMs that look for a coordinator

Cause: VMs that had lost their coordinator connected to followers, which held the newer version and gave it to nobody while they knew a leader (the record: 'feed-opened version=25 leads=false' on c-1, which had 37). So a VM had to reach the leader itself, the one VM that is overloaded then. Change: any control VM gives a VM that has a configuration a newer one: what it holds is committed, and versions only rise. A VM without one still waits for a leader that is known to hold the newest, or for a control VM without a leader. Feed.test.ts failed before: no configuration from a follower (timed out).

--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -34,6 +34,8 @@
   readonly document: documentState.DocumentState;
   /** Whether its state is known to include all that was acknowledged. */
   setStateCurrent(isCurrent: boolean): void;
+  /** Makes it a follower of another control VM. */
+  follow(leaderId: string): void;
   stop(): void;
 }
 
@@ -104,8 +106,20 @@
   const setStateCurrent = (isStateCurrent: boolean): void => {
     Object.assign(status, { isStateCurrent });
   };
+  const follow = (leaderId: string): void => {
+    Object.assign(status, { role: 'follower', leaderId, isStateCurrent: false });
+  };
   const { blameTable: leaderCrashes } = crashes;
-  return { address, table, coordinator, crashes: leaderCrashes, document, setStateCurrent, stop };
+  return {
+    address,
+    table,
+    coordinator,
+    crashes: leaderCrashes,
+    document,
+    setStateCurrent,
+    follow,
+    stop,
+  };
 }
 
 function startClient(vm: string, seeds: () => readonly string[]): feedClient.FeedClient {
@@ -315,3 +329,21 @@
   stop();
   await until(() => !client.isConfigurationCurrent(7));
 });
+
+test('a VM that finds no coordinator gets a newer configuration from a follower', async () => {
+  const { address, document, follow } = await startLeader();
+  follow('other');
+  document.apply(1, documentState.DocumentState.encode({ version: 9, text: 'new' }));
+  const versions: number[] = [];
+  const clients = [6, 0].map((version) => {
+    const client = startClient(`at ${version}`, () => [address]);
+    client.version = version;
+    client.onDocument((received) => versions.push(version, received.version));
+    return client;
+  });
+  await until(() => versions.length > 0);
+  await clock.sleep(300);
+  // A VM without a configuration waits for one that is known to be the newest.
+  expect(versions).toEqual([6, 9]);
+  expect(clients.some(({ isConnected }) => isConnected)).toBe(false);
+});
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -51,6 +51,8 @@
   readonly stream: sessionStream.SessionStream;
   vm: string;
   version: number;
+  /** Whether the VM had a configuration when it connected. */
+  hasConfiguration: boolean;
   /** Address at which the VM connects others to endpoints; undefined if it does not. */
   relay: string | undefined;
   /** Digests of the texts that the VM holds; undefined if it takes no updates. */
@@ -212,6 +214,7 @@
       stream: new sessionStream.SessionStream(stream, this.traffic),
       vm: '',
       version: 0,
+      hasConfiguration: false,
       relay: undefined,
       held: undefined,
       lastReceivedAt: now,
@@ -361,7 +364,7 @@
   }
 
   private handleHello(session: ISession, vm: string, version: number): void {
-    Object.assign(session, { vm, version });
+    Object.assign(session, { vm, hasConfiguration: version > 0, version });
     this.refreshRole();
     this.deps.logService.info('feed-opened', { vm, version, leads: this.isCoordinating });
     session.stream.write(this.buildState(this.takeListRequest(session)));
@@ -510,19 +513,18 @@
   }
 
   /**
-   * Sends the configuration when it is newer than the one of the session's VM, and this control VM
-   * coordinates or has known no leader for `LEADERLESS_TIMEOUT_MS`. A VM without a configuration gets it from a
-   * coordinator only once that one is known to hold the newest, because the VM would serve by any that it gets.
+   * Sends the configuration when it is newer than the one of the session's VM. A VM without a configuration, which would
+   * serve by any that it gets, gets it only from a leader that is known to hold the newest, or from a control VM that has
+   * known no leader for `LEADERLESS_TIMEOUT_MS`.
    */
   private sendDocumentTo(session: ISession): void {
     const { document, clock, log } = this.deps;
     const configuration = document.current;
     const isLeaderless = clock.monotonic() - this.leaderSeenAt > LEADERLESS_TIMEOUT_MS;
-    const isNewest = session.version > 0 || log.status().isStateCurrent;
     if (
       configuration !== undefined &&
       configuration.version > session.version &&
-      ((this.isCoordinating && isNewest) || isLeaderless)
+      (session.hasConfiguration || log.status().isStateCurrent || isLeaderless)
     ) {
       Object.assign(session, { version: configuration.version });
       this.feeds.sendDocument(session, configuration.version, configuration.text);
