--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -17,12 +17,27 @@
 import * as coordinators from './Coordinator.js';
 import * as feedClient from './FeedClient.js';
 import * as feedServer from './FeedServer.js';
+import type * as types from './Types.js';
 
 const { afterEach, expect, test } = vitest;
 const POLL_INTERVAL_MS = 10;
 const clock = new systemClock.SystemClock();
 const logService = new recordingLog.RecordingLogService();
 const metrics = new recordingMetrics.RecordingMetricsService();
+const PLAN: types.IPlanRequest = {
+  planId: 'r#1',
+  requestId: 'r',
+  service: 's',
+  stages: [],
+  pieces: [],
+  pieceKey: '',
+  priority: 0,
+  goalLeft: 5000,
+  deadlineLeft: 20_000,
+  prompt: { parts: [], tokensIn: 1, tokensOut: 1 },
+  avoid: [],
+  held: [],
+};
 const disposables: { dispose(): void }[] = [];
 
 /** A control VM that leads its group, with its feed on a loopback port. */
@@ -211,20 +226,7 @@
   const cancel = vitest.vi.spyOn(coordinator, 'cancel');
   const client = startClient('a', () => [address]);
   await until(() => client.isConnected);
-  const planned = await client.plan({
-    planId: 'r#1',
-    requestId: 'r',
-    service: 's',
-    stages: [],
-    pieces: [],
-    pieceKey: '',
-    priority: 0,
-    goalLeft: 5000,
-    deadlineLeft: 20_000,
-    prompt: { parts: [], tokensIn: 1, tokensOut: 1 },
-    avoid: [],
-    held: [],
-  });
+  const planned = await client.plan(PLAN);
   expect(planned.kind).toBe('ready');
   const { connection } = client as unknown as { connection: { end(reason: string): void } };
   connection.end('lost in a test');
@@ -241,20 +243,7 @@
   vitest.vi.spyOn(coordinator, 'plan').mockRejectedValue(new RangeError('Invalid array length'));
   const client = startClient('a', () => [address]);
   await until(() => client.isConnected);
-  const planned = await client.plan({
-    planId: 'r#1',
-    requestId: 'r',
-    service: 's',
-    stages: [],
-    pieces: [],
-    pieceKey: '',
-    priority: 0,
-    goalLeft: 5000,
-    deadlineLeft: 20_000,
-    prompt: { parts: [], tokensIn: 1, tokensOut: 1 },
-    avoid: [],
-    held: [],
-  });
+  const planned = await client.plan(PLAN);
   expect(planned).toMatchObject({ kind: 'refused', reason: 'stage-failed' });
 });
 
