--- a/src/control/Types.ts
+++ b/src/control/Types.ts
@@ -26,7 +26,10 @@
   readonly hasLeader: boolean;
   /** True when its log lists its incarnation as a voter. */
   readonly isVoter: boolean;
-  /** True when it leads and its state includes all commands that were acknowledged before its term. */
+  /**
+   * True when it leads, a quorum has answered it within an election timeout, and its state includes all commands that
+   * were acknowledged before its term.
+   */
   readonly isStateCurrent: boolean;
   readonly commitIndex: number;
   readonly appliedIndex: number;
--- a/src/control/replication/Leadership.ts
+++ b/src/control/replication/Leadership.ts
@@ -144,6 +144,11 @@
     return this.ended;
   }
 
+  /** Whether a quorum has answered this leader within an election timeout. */
+  get hasRecentQuorum(): boolean {
+    return this.quorumMonitor.hasRecentQuorum;
+  }
+
   /** Returns the highest log index known to be durable on a peer; 0 when unknown. */
   matchIndexOf(id: string): number {
     return this.replicators.get(id)?.matchIndex ?? 0;
--- a/src/control/replication/Replica.ts
+++ b/src/control/replication/Replica.ts
@@ -156,10 +156,17 @@
     };
   }
 
-  /** An entry of the own term is applied, and so is every entry that an earlier leader may have acknowledged. */
+  /**
+   * An entry of the own term is applied, and so is every entry that an earlier leader may have acknowledged. Without a
+   * recent quorum a later leader may have acknowledged others.
+   */
   private get isStateCurrent(): boolean {
-    const { firstIndex } = this.currentLeadership ?? { firstIndex: Number.POSITIVE_INFINITY };
-    return this.state.role === 'leader' && this.entryApplier.appliedIndex >= firstIndex;
+    const { currentLeadership } = this;
+    return (
+      currentLeadership !== undefined &&
+      this.entryApplier.appliedIndex >= currentLeadership.firstIndex &&
+      currentLeadership.hasRecentQuorum
+    );
   }
 
   /** Time since the last request that a peer answered was sent; undefined when this replica is not the leader. */
