Handle what entry VMs send to a coordinator in slices, and their first messages before all others

What callers saw: a leader that all entry VMs find at the same moment is overloaded by what they have waiting, loses its quorum, and VMs that connect meanwhile keep old configurations. Cause: each message was handled where it arrived, so the plans of 200 VMs were made in one turn of the event loop; heartbeats, their answers and the hellos of other VMs came after all of it. Change: messages go through a queue that works in slices of 10 ms, with a turn of the event loop between two (SlicedQueue). Messages that are answered with state, configuration or list (hello, probe, resend, the list that a coordinator lacks) go first; the others keep their order, because limits, rooms, crashes and streams that a VM reports must be known before its plans are made. While nothing waits a message is handled at once, as before. Plans and requests for room or permits of a VM whose connection has ended meanwhile are dropped; it asks again. feed_messages_deferred counts, feed-load names what waits. Ruled out: sending plans before limits and streams, as had been proposed: a new coordinator would plan without knowing them. Not covered: what gRPC does before a message is handled (decoding) still runs for all at once. ManualClock can pass time without firing timers now.

--- a/src/common/testing/ManualClock.ts
+++ b/src/common/testing/ManualClock.ts
@@ -57,6 +57,11 @@
     });
   }
 
+  /** Lets time pass without firing timers, as in a busy event loop; they fire late. */
+  spend(duration: types.Millis): void {
+    this.time += duration;
+  }
+
   /** Advances time by `duration` milliseconds; fires due timers in order and lets promises settle after each. */
   async advance(duration: types.Millis): Promise<void> {
     const end = this.time + duration;
@@ -67,7 +72,7 @@
       timer.callback();
       await this.settle();
     }
-    this.time = end;
+    this.time = Math.max(this.time, end);
   }
 
   private nextDue(end: types.Millis): ITimer | undefined {
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -22,6 +22,7 @@
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
 import * as sessionStream from './SessionStream.js';
+import * as slicedQueue from './SlicedQueue.js';
 import * as topicFeeds from './TopicFeeds.js';
 import type * as types from './Types.js';
 
@@ -44,6 +45,26 @@
 /** Time after which the caller of a plan that failed for an unexpected error may come back. */
 const FAILED_PLAN_RETRY_MS = 1000;
 
+/** Messages that wait and are still of use after their session was closed. */
+const OUTLIVING_KINDS: ReadonlySet<types.UpMessage['kind']> = new Set([
+  'cancel',
+  'started',
+  'ended',
+  'spare',
+  'limits',
+  'rejection-limits',
+  'room-end',
+  'blame',
+  'streams',
+]);
+/** Messages that are answered with the state, the configuration or the endpoint list; they go before all others. */
+const URGENT_KINDS: ReadonlySet<types.UpMessage['kind']> = new Set([
+  'hello',
+  'probe',
+  'endpoints',
+  'resend',
+]);
+
 /** Whether the VM of a session knows the outcome of a plan. */
 type PlanProgress = 'pending' | 'ready';
 
@@ -119,6 +140,8 @@
 
   private readonly listRequests: listRequests.ListRequests;
 
+  private readonly inbox: slicedQueue.SlicedQueue;
+
   /** Registers the feed service at `server` and starts to send the state to entry VMs at a fixed interval. */
   constructor(
     server: grpc.Server,
@@ -132,6 +155,9 @@
     this.feeds = new topicFeeds.TopicFeeds(sender, this.traffic);
     this.news = new newsFeed.NewsFeed(clock, sender, this.traffic);
     this.listRequests = new listRequests.ListRequests(clock);
+    this.inbox = new slicedQueue.SlicedQueue(clock, () =>
+      deps.metrics.count('feed_messages_deferred'),
+    );
     server.addService(feedCodec.FEED_SERVICE, {
       open: (stream: sessionStream.ServerStream) => this.openSession(stream),
     });
@@ -167,6 +193,7 @@
     );
     this.subscriptions.push(
       sender,
+      this.inbox,
       this.rateLimitExchange,
       this.blameExchange,
       this.relayExchange,
@@ -222,7 +249,7 @@
       pendingResults: [],
     };
     this.sessions.add(session);
-    stream.on('data', (message: types.UpMessage) => this.handleMessage(session, message));
+    stream.on('data', (message: types.UpMessage) => this.receive(session, message));
     stream.on('error', (err: Error) => this.closeSession(session, err.message));
     stream.on('end', () => this.closeSession(session, 'ended'));
     stream.on('cancelled', () => this.closeSession(session, 'cancelled'));
@@ -280,8 +307,19 @@
       .forEach((session) => this.closeSession(session, 'silent'));
   }
 
-  private handleMessage(session: ISession, message: types.UpMessage): void {
+  /** Handles a message in its turn, so that what many VMs send at once does not hold up heartbeats of the group. */
+  private receive(session: ISession, message: types.UpMessage): void {
     Object.assign(session, { lastReceivedAt: this.deps.clock.monotonic() });
+    const { kind } = message;
+    const handle = (): void => {
+      if (this.sessions.has(session) || OUTLIVING_KINDS.has(kind)) {
+        this.handleMessage(session, message);
+      }
+    };
+    this.inbox.add(handle, URGENT_KINDS.has(kind) ? 'high' : 'normal');
+  }
+
+  private handleMessage(session: ISession, message: types.UpMessage): void {
     const { coordinator: planner } = this.deps;
     const send = (down: types.DownMessage): void => {
       session.stream.write(down);
@@ -563,6 +601,7 @@
       const fields = {
         sessions: this.sessions.size,
         queuedBytes,
+        waitingMessages: this.inbox.length,
         recentBytes: recentBytes.join(' '),
       };
       this.deps.logService.warn('feed-load', fields);
--- a/src/coordination/testing/FeedVm.ts
+++ b/src/coordination/testing/FeedVm.ts
@@ -24,6 +24,8 @@
 
   private readonly listeners: Listener[] = [];
 
+  private onEnd: () => void = () => {};
+
   private readonly updates = new updateReceiver.UpdateReceiver(
     new recordingLog.RecordingLogService(),
     (topic) => this.send({ kind: 'resend', topic }),
@@ -42,6 +44,8 @@
       on: (event: string, listener: Listener) => {
         if (event === 'data') {
           this.listeners.push(listener);
+        } else if (event === 'end') {
+          this.onEnd = listener as () => void;
         }
       },
       write: (bytes: Buffer, onAccepted: () => void) => {
@@ -61,6 +65,12 @@
     this.send({ kind: 'hello', vm: this.name, version: this.version, ...held });
   }
 
+  /** Ends the connection. */
+  disconnect(): void {
+    this.listeners.length = 0;
+    this.onEnd();
+  }
+
   /** Sends a message to the server. */
   send(message: types.UpMessage): void {
     this.listeners.forEach((listener) => listener(message));
