Send configurations before endpoint lists

What callers saw: configurations that are older than 3 s on VMs whose coordinator was lost (CONFIG). One cause of delay on a new session: configuration and endpoint list of all VMs waited in one order for the limited rate of the feed, so a VM that connected late got its configuration after the lists of all before it. Change: lists leave while no configuration waits. Test: FeedLoad.test.ts, 'configurations reach 200 new VMs before the endpoint lists of all of them' failed before (line 249: 200 VMs had their list, bound 50). No test was changed.

--- a/src/coordination/FeedLoad.test.ts
+++ b/src/coordination/FeedLoad.test.ts
@@ -239,6 +239,19 @@
   fleet.dispose();
 });
 
+test('configurations reach 200 new VMs before the endpoint lists of all of them', async () => {
+  const { clock, fleet } = await startFleet(0);
+  fleet.connectNew(ENTRY_VMS);
+  while (fleet.vms.some(({ version }) => version === 0)) {
+    await clock.advance(5);
+  }
+  const withList = fleet.vms.filter(({ endpoints }) => endpoints !== '');
+  expect(withList.length).toBeLessThan(0.25 * ENTRY_VMS);
+  await clock.advance(IN_FORCE_MS);
+  expect(fleet.vms.every(({ endpoints }) => endpoints !== '')).toBe(true);
+  fleet.dispose();
+});
+
 test('news of many crashes at once do not hold up heartbeats on the link, and reach all VMs', async () => {
   const { clock, fleet } = await startFleet(ENTRY_VMS);
   const id = (number: number): string => (number * 2_654_435_761).toString(16).padStart(16, '0');
--- a/src/coordination/PacedSender.ts
+++ b/src/coordination/PacedSender.ts
@@ -6,15 +6,21 @@
 /** Sends a message, if it is still needed, and returns its size in bytes. */
 export type SendTask = () => number;
 
-/** Tasks of low priority run while there are no others. */
-export type SendPriority = 'high' | 'low';
+/** Tasks of a priority run while there are none of a higher one. */
+export type SendPriority = 'high' | 'medium' | 'low';
+
+const PRIORITIES: readonly SendPriority[] = ['high', 'medium', 'low'];
 
 /**
  * Sends large messages to many receivers at a limited rate, so that short messages, such as heartbeats, do not wait behind
  * all of them on the link of this VM.
  */
 export class PacedSender implements commonTypes.IDisposable {
-  private readonly tasks: Record<SendPriority, SendTask[]> = { high: [], low: [] };
+  private readonly tasks: Record<SendPriority, SendTask[]> = {
+    high: [],
+    medium: [],
+    low: [],
+  };
 
   /** Time at which the messages that were sent have left the link at the limited rate. */
   private freeAt: commonTypes.Millis;
@@ -43,17 +49,17 @@
   dispose(): void {
     this.isDisposed = true;
     this.timer?.dispose();
-    this.tasks.high = [];
-    this.tasks.low = [];
+    PRIORITIES.forEach((priority) => {
+      this.tasks[priority] = [];
+    });
   }
 
   private sendDue(): void {
     this.timer = undefined;
     const now = this.clock.monotonic();
     this.freeAt = Math.max(this.freeAt, now);
-    this.runTasks('high', now + BURST_MS);
-    this.runTasks('low', now + BURST_MS);
-    const hasMore = this.tasks.high.length + this.tasks.low.length > 0;
+    PRIORITIES.forEach((priority) => this.runTasks(priority, now + BURST_MS));
+    const hasMore = PRIORITIES.some((priority) => this.tasks[priority].length > 0);
     if (hasMore && !this.isDisposed) {
       this.timer = this.clock.setTimer(this.freeAt - now, () => this.sendDue());
     }
--- a/src/coordination/TopicFeed.ts
+++ b/src/coordination/TopicFeed.ts
@@ -14,11 +14,12 @@
 export class TopicFeed {
   private readonly waiting = new Set<ITopicReceiver>();
 
-  /** Sends `text` through `sender`. */
+  /** Sends `text` through `sender` with the given priority. */
   constructor(
     private readonly topic: types.FeedTopic,
     private readonly text: sharedText.SharedText,
     private readonly sender: pacedSender.PacedSender,
+    private readonly priority: pacedSender.SendPriority,
   ) {}
 
   /** Replaces the text; `send` sends it. */
@@ -30,7 +31,7 @@
   send(receiver: ITopicReceiver): void {
     if (!this.waiting.has(receiver)) {
       this.waiting.add(receiver);
-      this.sender.add(() => this.sendNow(receiver));
+      this.sender.add(() => this.sendNow(receiver), this.priority);
     }
   }
 
--- a/src/coordination/TopicFeeds.ts
+++ b/src/coordination/TopicFeeds.ts
@@ -50,6 +50,7 @@
   ): topicFeed.TopicFeed {
     const onEncoded = (kind: types.DownMessage['kind']): void => this.traffic.recordEncoded(kind);
     const text = new sharedText.SharedText({ topic, toWholeMessage, onEncoded });
-    return new topicFeed.TopicFeed(topic, text, this.sender);
+    const priority = topic === 'document' ? 'high' : 'medium';
+    return new topicFeed.TopicFeed(topic, text, this.sender, priority);
   }
 }
