Take zones out of service: operator calls, feed to entry VMs, and a gate at each way out

Control VMs send the closed zones to each entry VM when they change and when it connects, always before a configuration, so that a VM that has just started never serves without them. The revision tells which of two sets is newer. While no zone was ever closed, nothing is sent, and earlier builds pass over the message.

One gate: EndpointDirectory.ready() leaves out endpoints of closed zones, which covers choices of plain services, rooms, stages, engines and versions of streams, at the coordinator and at a VM that plans alone. Directly before a send EndpointTransport asks again, when the request starts and once its connection is there, so that neither a request that waited for a connection nor one planned before leaves; this covers stage calls and crash probes. Releases of results go on. An engine that a plan named before is replaced without blame and without the retry budget. Relays refuse new tunnels.

What only closed zones could serve is refused at once with no-endpoint and 1 s, also what waits for a stage or an engine when the last zone closes; calls in progress go on.

Ruled out: a topic of its own in the feed (paced, for long texts), and closing by a change of the endpoint list (each control VM would have to send it anew, and VMs read the list themselves without a coordinator).

--- a/src/batching/StageScheduler.ts
+++ b/src/batching/StageScheduler.ts
@@ -75,6 +75,9 @@
 
   private limits: routing.IBatchLimits;
 
+  /** Whether all endpoints of the service are in zones out of service, so that nothing can be dispatched. */
+  private isOutOfService = false;
+
   /** Starts without endpoints; `updateEndpoints` supplies them. */
   constructor(
     private readonly serviceName: string,
@@ -148,9 +151,17 @@
     return Math.min(1, wait / Math.max(1, this.typicalCallTime));
   }
 
-  /** Applies a new list of the service's endpoints, and its limits. */
-  updateEndpoints(endpoints: readonly routing.IEndpoint[], limits: routing.IBatchLimits): void {
+  /**
+   * Applies a new list of the service's endpoints, and its limits. Queued items fail at once as expired if the list is
+   * empty because the zones of all endpoints are out of service; calls in progress go on.
+   */
+  updateEndpoints(
+    endpoints: readonly routing.IEndpoint[],
+    limits: routing.IBatchLimits,
+    isOutOfService = false,
+  ): void {
     this.limits = limits;
+    this.isOutOfService = isOutOfService;
     const currentIds = new Set(endpoints.map((endpoint) => endpoint.id));
     [...this.replicas.keys()]
       .filter((id) => !currentIds.has(id))
@@ -241,7 +252,9 @@
       (queued) => queued.group.inputsExpireAt < minExpiry,
     );
     withExpiredInputs.forEach((queued) => StageScheduler.failRemaining(queued, 'gone'));
-    const expired = this.queue.filter((queued) => StageScheduler.isExpired(queued, now));
+    const expired = this.queue.filter(
+      (queued) => this.isOutOfService || StageScheduler.isExpired(queued, now),
+    );
     expired.forEach((queued) => StageScheduler.failRemaining(queued, 'expired'));
     this.queue = this.queue.filter((queued) => queued.remaining > 0);
   }
--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -15,6 +15,9 @@
 import * as sharedRateLimiter from '../ratelimit/SharedRateLimiter.js';
 import * as roomKeeper from '../room/RoomKeeper.js';
 import type * as routing from '../routing/Types.js';
+import type * as zoneTypes from '../zones/Types.js';
+import * as zoneService from '../zones/ZoneService.js';
+import type * as zoneState from '../zones/ZoneState.js';
 import * as documentService from './document/DocumentService.js';
 import type * as documentState from './document/DocumentState.js';
 import * as sharedState from './document/SharedState.js';
@@ -95,10 +98,13 @@
     private readonly disposables: disposableStore.DisposableStore,
     /** Submits and reads the routing document. */
     readonly documents: documentService.DocumentService,
+    /** Takes availability zones out of service and returns them. */
+    readonly zones: zoneService.ZoneService,
     /** The replicated log. */
     readonly log: replica.Replica,
     /** Serves the connected entry VMs and reports whether this VM is the coordinator. */
     readonly feed: feedServer.FeedServer,
+    private readonly directory: endpointDirectory.EndpointDirectory,
     private readonly disk: closableDisk.ClosableDisk,
   ) {}
 
@@ -175,12 +181,14 @@
       }),
     );
     followDocument(state, coordinator, dependencies);
+    followZones(shared.zones, directory, dependencies);
     const feed = disposables.add(
       new feedServer.FeedServer(server, {
         log,
         document: state,
         directory,
         coordinator,
+        zones: shared.zones,
         rateLimitTable: limits,
         rateLimiter,
         blameTable: crashes,
@@ -220,7 +228,13 @@
     );
     await bind(server, address);
     const documents = new documentService.DocumentService(log, state, logService);
-    return new DocumentProcess(disposables, documents, log, feed, disk);
+    const zones = new zoneService.ZoneService(log, shared.zones, logService);
+    return new DocumentProcess(disposables, documents, zones, log, feed, directory, disk);
+  }
+
+  /** Whether the zone of an endpoint's address is in service; true for an address that is not in the list. */
+  isOpenAddress(address: string): boolean {
+    return this.directory.isOpenAddress(address);
   }
 
   /** @inheritdoc */
@@ -293,6 +307,23 @@
   }
 }
 
+function followZones(
+  state: zoneState.ZoneState,
+  directory: endpointDirectory.EndpointDirectory,
+  { logService, metrics }: IDocumentProcessDependencies,
+): void {
+  const applyZones = (closed: zoneTypes.IClosedZones): void => {
+    directory.closeZones(closed);
+    const { revision, zones } = closed;
+    metrics.gauge('zones_closed', zones.length);
+    logService.info('zones-out-of-service', { revision, zones: zones.join(',') });
+  };
+  state.onChange(applyZones);
+  if (state.current.revision > 0) {
+    applyZones(state.current);
+  }
+}
+
 function bind(server: grpc.Server, address: string): Promise<void> {
   return new Promise((resolve, reject) => {
     server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (err) => {
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -47,6 +47,8 @@
 const MIN_RESULT_LIFE_MS = 300;
 /** A plan for which no end was reported is removed this long after its deadline. */
 const PLAN_RETENTION_MS = 2000;
+/** Time after which a caller may come back while all endpoints of a service are in zones out of service. */
+const OUT_OF_SERVICE_RETRY_AFTER_MS = 1000;
 /** Time after which a caller may take up a stream again whose version has no engine left; a crashed one may be back. */
 const VERSION_RETRY_AFTER_MS = 1000;
 
@@ -164,6 +166,9 @@
     req: types.IPlanRequest,
     onResult: types.ResultListener,
   ): Promise<types.PlanOutcome> {
+    if (this.isOutOfService(req)) {
+      return Promise.resolve(this.refuseNew(req, 'no-endpoint', OUT_OF_SERVICE_RETRY_AFTER_MS));
+    }
     if (!this.versions.hasEndpoint(req.service, req.version)) {
       return Promise.resolve(this.refuseNew(req, 'version-gone', VERSION_RETRY_AFTER_MS));
     }
@@ -307,7 +312,7 @@
         const scheduler =
           this.schedulers.get(name) ?? new stageScheduler.StageScheduler(name, batch, this.deps);
         this.schedulers.set(name, scheduler);
-        scheduler.updateEndpoints(directory.ready(name), batch);
+        scheduler.updateEndpoints(directory.ready(name), batch, directory.isOutOfService(name));
       }
       if (engine !== undefined) {
         const placer =
@@ -318,6 +323,28 @@
       }
     });
     this.versions.recordListed();
+    this.refuseOutOfService();
+  }
+
+  /** Whether the engines of a new request, or of a stage that it needs, are all in zones out of service. */
+  private isOutOfService({ service, stages, pieces, held }: types.IPlanRequest): boolean {
+    const { directory } = this.deps;
+    const isMissing = (at: number): boolean =>
+      (pieces[at] ?? 0) > held.filter(({ stage }) => stage === at).length;
+    return (
+      directory.isOutOfService(service) ||
+      stages.some((stage, at) => isMissing(at) && directory.isOutOfService(stage.service))
+    );
+  }
+
+  /** Refuses the plans without an engine whose engines are all out of service. */
+  private refuseOutOfService(): void {
+    const { directory } = this.deps;
+    [...this.plans].forEach(([planId, plan]) => {
+      if (plan.resolve !== undefined && directory.isOutOfService(plan.req.service)) {
+        this.refusePlan(planId, plan, 'no-endpoint', OUT_OF_SERVICE_RETRY_AFTER_MS);
+      }
+    });
   }
 
   /**
@@ -346,6 +373,11 @@
       return;
     }
     if (outcome.kind === 'failed') {
+      const { directory } = this.deps;
+      if (plan.req.stages.some(({ service }) => directory.isOutOfService(service))) {
+        this.refusePlan(planId, plan, 'no-endpoint', OUT_OF_SERVICE_RETRY_AFTER_MS);
+        return;
+      }
       const reason = outcome.reason === 'expired' ? 'too-late' : 'stage-failed';
       this.refusePlan(planId, plan, reason, planAdmission.MIN_RETRY_AFTER_MS);
       return;
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -8,6 +8,7 @@
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as rooms from '../room/Types.js';
 import type * as routing from '../routing/Types.js';
+import type * as zoneTypes from '../zones/Types.js';
 import * as feedConnection from './FeedConnection.js';
 import * as heldResults from './HeldResults.js';
 import * as leaderHints from './LeaderHints.js';
@@ -111,6 +112,8 @@
 
   private readonly endpointsEmitter = new emitter.Emitter<routing.IEndpointList>();
 
+  private readonly zonesEmitter = new emitter.Emitter<zoneTypes.IClosedZones>();
+
   private readonly relaysEmitter = new emitter.Emitter<readonly string[]>();
 
   private readonly coordinatorFoundEmitter = new emitter.Emitter<void>();
@@ -163,6 +166,9 @@
   /** Fires for each endpoint list that a control VM sends. */
   readonly onEndpoints = this.endpointsEmitter.event;
 
+  /** Fires with each set of zones out of service that a control VM sends; it may be older than one sent before. */
+  readonly onZones = this.zonesEmitter.event;
+
   /** Fires with the addresses of entry VMs that connect this one to endpoints. */
   readonly onRelays = this.relaysEmitter.event;
 
@@ -511,6 +517,9 @@
         this.updates.set('endpoints', JSON.stringify(message.list.endpoints));
         this.endpointsEmitter.fire(message.list);
         break;
+      case 'zones':
+        this.zonesEmitter.fire(message.closed);
+        break;
       case 'relays':
         this.relaysEmitter.fire(message.relays);
         break;
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -11,6 +11,7 @@
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as roomKeeper from '../room/RoomKeeper.js';
 import type * as routing from '../routing/Types.js';
+import type * as zoneState from '../zones/ZoneState.js';
 import type * as coordinator from './Coordinator.js';
 import * as blameExchange from './BlameExchange.js';
 import * as feedCodec from './FeedCodec.js';
@@ -51,6 +52,8 @@
   readonly stream: sessionStream.SessionStream;
   vm: string;
   version: number;
+  /** Revision of the set of closed zones that was sent to the VM in this session. */
+  zonesRevision: number;
   /** Whether the VM had a configuration when it connected. */
   hasConfiguration: boolean;
   /** Address at which the VM connects others to endpoints; undefined if it does not. */
@@ -68,6 +71,8 @@
 export interface IFeedServerDependencies {
   readonly log: controlTypes.IReplicatedLog;
   readonly document: documentState.DocumentState;
+  /** Availability zones out of service; absent if none is ever. */
+  readonly zones?: zoneState.ZoneState;
   readonly directory: endpointDirectory.EndpointDirectory;
   readonly coordinator: coordinator.Coordinator;
   readonly rateLimitTable: rateLimitTable.RateLimitTable;
@@ -107,6 +112,9 @@
 
   private isCoordinating = false;
 
+  /** Endpoint list that was sent to all entry VMs last. */
+  private sentList: routing.IEndpointList | undefined;
+
   private leaderSeenAt: commonTypes.Millis;
 
   private readonly recentEntryCount: recentMaximum.RecentMaximum;
@@ -172,9 +180,8 @@
       this.relayExchange,
       this.roomExchange,
       deps.document.onChange((document) => this.handleDocument(document)),
-      deps.directory.onChange(() =>
-        this.sessions.forEach((session) => this.sendEndpointsTo(session)),
-      ),
+      ...(deps.zones === undefined ? [] : [deps.zones.onChange(() => this.broadcastDocument())]),
+      deps.directory.onChange((list) => this.handleEndpoints(list)),
       deps.log.onLeadership((leads) => this.handleLeadership(leads)),
     );
     void this.runStateLoop();
@@ -214,6 +221,7 @@
       stream: new sessionStream.SessionStream(stream, this.traffic),
       vm: '',
       version: 0,
+      zonesRevision: 0,
       hasConfiguration: false,
       relay: undefined,
       held: undefined,
@@ -513,24 +521,38 @@
   }
 
   /**
-   * Sends the configuration when it is newer than the one of the session's VM. A VM without a configuration, which would
-   * serve by any that it gets, gets it only from a leader that is known to hold the newest, or from a control VM that has
-   * known no leader for `LEADERLESS_TIMEOUT_MS`.
+   * Sends the zones out of service, and then the configuration, when they are newer than those of the session's VM. A VM
+   * without a configuration, which would serve by any that it gets, gets it only from a leader that is known to hold the
+   * newest, or from a control VM that has known no leader for `LEADERLESS_TIMEOUT_MS`.
    */
   private sendDocumentTo(session: ISession): void {
     const { document, clock, log } = this.deps;
     const configuration = document.current;
     const isLeaderless = clock.monotonic() - this.leaderSeenAt > LEADERLESS_TIMEOUT_MS;
-    if (
-      configuration !== undefined &&
-      configuration.version > session.version &&
-      (session.hasConfiguration || log.status().isStateCurrent || isLeaderless)
-    ) {
+    const mayServe = session.hasConfiguration || log.status().isStateCurrent || isLeaderless;
+    this.sendZonesTo(session);
+    if (configuration !== undefined && configuration.version > session.version && mayServe) {
       Object.assign(session, { version: configuration.version });
       this.feeds.sendDocument(session, configuration.version, configuration.text);
     }
   }
 
+  /** Sends a new endpoint list; the directory also tells of zones that were closed, which leave the list as it is. */
+  private handleEndpoints(list: routing.IEndpointList): void {
+    if (list !== this.sentList) {
+      this.sentList = list;
+      this.sessions.forEach((session) => this.sendEndpointsTo(session));
+    }
+  }
+
+  private sendZonesTo(session: ISession): void {
+    const closed = this.deps.zones?.current;
+    if (closed !== undefined && closed.revision > session.zonesRevision) {
+      Object.assign(session, { zonesRevision: closed.revision });
+      session.stream.write({ kind: 'zones', closed });
+    }
+  }
+
   private sendEndpointsTo(session: ISession): void {
     if (this.canPlan) {
       this.feeds.sendEndpoints(session, this.deps.directory.current);
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -7,6 +7,7 @@
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as rooms from '../room/Types.js';
 import type * as routing from '../routing/Types.js';
+import type * as zoneTypes from '../zones/Types.js';
 import type * as streamVersions from './StreamVersions.js';
 
 /** Request for a plan: a caller's request that needs stages or a model engine. */
@@ -215,6 +216,8 @@
   | { readonly kind: 'document'; readonly version: number; readonly text: string }
   /** An endpoint list, for entry VMs that take no updates. */
   | { readonly kind: 'endpoints'; readonly list: routing.IEndpointList }
+  /** The availability zones out of service; always before a configuration. Earlier builds do not send it. */
+  | { readonly kind: 'zones'; readonly closed: zoneTypes.IClosedZones }
   /** Addresses (`ip:port`) of some other entry VMs that connect this one to endpoints. */
   | { readonly kind: 'relays'; readonly relays: readonly string[] }
   /** Results produced for plans of the entry VM, kept there in case the coordinator is lost. */
--- a/src/coordination/testing/FeedFleet.ts
+++ b/src/coordination/testing/FeedFleet.ts
@@ -13,6 +13,7 @@
 import * as unlimitedRateLimiter from '../../ratelimit/testing/UnlimitedRateLimiter.js';
 import * as roomKeeper from '../../room/RoomKeeper.js';
 import * as endpointDirectory from '../../routing/EndpointDirectory.js';
+import * as zoneState from '../../zones/ZoneState.js';
 import * as coordinators from '../Coordinator.js';
 import * as feedServer from '../FeedServer.js';
 import type * as sessionStream from '../SessionStream.js';
@@ -35,6 +36,8 @@
 
   readonly document = new documentState.DocumentState();
 
+  readonly zones = new zoneState.ZoneState();
+
   readonly metrics = new recordingMetrics.RecordingMetricsService();
 
   readonly link: rateLimitedLink.RateLimitedLink;
@@ -126,12 +129,13 @@
     crashes: ReturnType<typeof blame.makeBlame>,
   ): feedServer.FeedServer {
     const { clock, log, linkBytesPerMs } = this.options;
-    const { directory, document, metrics, coordinator } = this;
+    const { directory, document, zones, metrics, coordinator } = this;
     const logService = new recordingLog.RecordingLogService();
     const limits = new rateLimitTable.RateLimitTable({ clock, logService, metrics });
     return new feedServer.FeedServer(server, {
       log,
       document,
+      zones,
       directory,
       coordinator,
       rateLimitTable: limits,
--- a/src/coordination/testing/FeedVm.ts
+++ b/src/coordination/testing/FeedVm.ts
@@ -5,6 +5,7 @@
 import * as recordingLog from '../../common/testing/RecordingLogService.js';
 import type * as rateLimitedLink from '../../common/testing/RateLimitedLink.js';
 import type * as routing from '../../routing/Types.js';
+import type * as zoneTypes from '../../zones/Types.js';
 
 type Listener = (message: types.UpMessage) => void;
 
@@ -13,6 +14,9 @@
   /** Newest configuration that arrived. */
   version = 0;
 
+  /** Zones out of service that arrived last. */
+  closedZones: zoneTypes.IClosedZones | undefined;
+
   /** Newest endpoint list that arrived, as JSON. */
   endpoints = '';
 
@@ -77,6 +81,8 @@
       this.receiveState(message);
     } else if (message.kind === 'update') {
       this.receiveUpdate(message);
+    } else if (message.kind === 'zones') {
+      this.closedZones = message.closed;
     } else if (message.kind === 'document') {
       this.version = message.version;
     } else if (message.kind === 'endpoints') {
--- a/src/gateway/EndpointTransport.ts
+++ b/src/gateway/EndpointTransport.ts
@@ -35,6 +35,11 @@
   readonly maxConnections: number;
   readonly options: Pick<http.RequestOptions, 'method' | 'path' | 'headers' | 'setHost'>;
   readonly body: Buffer | string | undefined;
+  /**
+   * Whether the request may still be sent; asked at its start and again when its connection is there. Absent means that
+   * it always may.
+   */
+  readonly maySend?: () => boolean;
 }
 
 /** Head of a response. */
@@ -83,12 +88,16 @@
   /** Starts a request; throws if it cannot be encoded. */
   start(call: IHttpCall): IExchange {
     let isCancelled = false;
+    if (!maySend(call)) {
+      return { response: Promise.reject(closedError()), cancel: () => {} };
+    }
     const via = call.isEndpoint ? this.paths.nextVia(call.address) : 'direct';
     let req = this.createRequest(call, via);
     const first = this.exchange(call, req, via, () => isCancelled);
     const response = first.catch((err: unknown) => {
       const isUnsent = err instanceof types.EndpointCallError && !err.sent;
-      if (!isUnsent || !call.isEndpoint || !this.paths.canRelay || isCancelled) {
+      const mayRepeat = call.isEndpoint && this.paths.canRelay && !isCancelled && maySend(call);
+      if (!isUnsent || !mayRepeat) {
         throw err;
       }
       const other = via === 'direct' ? 'relay' : 'direct';
@@ -155,6 +164,11 @@
       let timer: commonTypes.IDisposable | undefined;
       req.once('socket', (socket) => {
         const recordSent = (): void => {
+          if (!maySend(call)) {
+            timer?.dispose();
+            req.destroy(closedError());
+            return;
+          }
           const sentAt = this.clock.monotonic();
           sent = true;
           timer?.dispose();
@@ -261,6 +275,14 @@
   }
 }
 
+function maySend(call: IHttpCall): boolean {
+  return call.maySend?.() ?? true;
+}
+
+function closedError(): types.EndpointCallError {
+  return new types.EndpointCallError('availability zone out of service', false);
+}
+
 /** Error of a request that could be sent on neither way, or was lost on the second one. */
 function combine(
   first: types.EndpointCallError,
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -115,6 +115,11 @@
         continue;
       }
       const { endpoint, inputs } = outcome;
+      if (!deps.caller.isOpen(endpoint)) {
+        avoid = [...avoid, endpoint.id];
+        outcome = await this.replaceClosed(endpoint);
+        continue;
+      }
       const attempt = await this.attempt(endpoint, inputs);
       if (scope.isFinished || attempt.kind === 'done') {
         unregister();
@@ -152,6 +157,13 @@
     return isBroken && !(await this.deps.caller.hasLostPath(endpoint));
   }
 
+  /** Chooses another engine, because the zone of the planned one went out of service before the send. */
+  private replaceClosed(endpoint: routing.IEndpoint): Promise<coordination.PlanOutcome> {
+    this.deps.metrics.count('retry', { reason: 'zone-closed' });
+    this.log('engine-zone-closed', { endpoint: endpoint.id, zone: endpoint.availabilityZone });
+    return this.deps.planner.reassign(this.planId, endpoint.id, 'limited');
+  }
+
   /**
    * Chooses an engine for the next attempt: under the current plan if its stage results are kept, else by a new plan.
    */
@@ -318,7 +330,7 @@
         return { kind: end };
       }
       this.executions -= 1;
-      const isHealthy = deps.caller.isPathInDoubt(endpoint);
+      const isHealthy = deps.caller.isPathInDoubt(endpoint) || !deps.caller.isOpen(endpoint);
       return { kind: 'not-run', inputsLost: false, isHealthy };
     } finally {
       subscription.dispose();
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -165,6 +165,7 @@
   let reply: ReplyFn;
   let plans: coordination.IPlanRequest[];
   let planOutcomes: coordination.PlanOutcome[];
+  let directory: endpointDirectory.EndpointDirectory;
   const endpoint = (id: string): routing.IEndpoint => ({
     id,
     service: 's',
@@ -177,7 +178,7 @@
   beforeEach(() => {
     clock = new virtualClock.VirtualClock();
     const random = new seededRandom.SeededRandom(7);
-    const directory = new endpointDirectory.EndpointDirectory();
+    directory = new endpointDirectory.EndpointDirectory();
     calls = [];
     plans = [];
     planOutcomes = [];
@@ -185,6 +186,7 @@
     const caller: types.IEndpointCaller = {
       hasLostPath: async () => false,
       isPathInDoubt: () => false,
+      isOpen: (target) => directory.isOpen(target),
       send: (call) => {
         calls.push(call);
         const result = reply(call);
@@ -762,6 +764,76 @@
     });
   });
 
+  describe('while zones are out of service', () => {
+    beforeEach(() => {
+      const spread = [endpoint('e1'), { ...endpoint('e2'), availabilityZone: 'b' }];
+      directory.replace({ revision: 2, endpoints: spread });
+    });
+
+    test('refuses a request at once, with a delay, if all endpoints are in them', async () => {
+      directory.closeZones({ revision: 1, zones: ['a', 'b'] });
+      const responder = await request('/read/', 0);
+      expect(responder).toMatchObject({ outcome: 'no-endpoint', retryAfter: 1000 });
+      expect(calls).toEqual([]);
+    });
+
+    test.each(['/read/', '/write/'])('retries nothing there after %s', async (target) => {
+      reply = () => {
+        directory.closeZones({ revision: 1, zones: ['a', 'b'] });
+        return answerOf(503, '', { isNotRun: true });
+      };
+      expect((await request(target)).outcome).toBe('no-endpoint');
+      expect(calls).toHaveLength(1);
+    });
+
+    test('hedges nothing there', async () => {
+      reply = () => {
+        directory.closeZones({ revision: 1, zones: ['a', 'b'] });
+        return 'silent';
+      };
+      await request('/read/');
+      expect(calls).toHaveLength(1);
+    });
+
+    test('sends nothing there on a permit that was awaited when the zone closed', async () => {
+      reply = () => answerOf(200, 'ok');
+      let grant: (isGranted: boolean) => void = () => {};
+      permits.acquire = (id) =>
+        id === 'e2' ||
+        new Promise((resolve) => {
+          grant = resolve;
+        });
+      directory.closeZones({ revision: 1, zones: ['b'] });
+      const responder = await request('/write/', 0);
+      directory.closeZones({ revision: 2, zones: ['a'] });
+      grant(true);
+      await clock.advance(100);
+      expect(calls.map((call) => call.endpoint.id)).toEqual(['e2']);
+      expect(responder.outcome).toBe('200');
+    });
+
+    test('has a planned engine there replaced before the send', async () => {
+      const closed = { ...endpoint('m1'), service: 'm', availabilityZone: 'b' };
+      const open = { ...endpoint('m2'), service: 'm' };
+      planOutcomes = [closed, open].map((each) => ({ kind: 'ready', endpoint: each, inputs: [] }));
+      directory.closeZones({ revision: 1, zones: ['b'] });
+      reply = () => answerOf(200, 'ok');
+      await request('/chat/');
+      expect(calls.map((call) => call.endpoint.id)).toEqual(['m2']);
+      expect(metrics.counters.get('retry{reason=zone-closed}')).toBe(1);
+    });
+
+    test('lets requests there end, and sends there again once the zone returns', async () => {
+      reply = () => answerOf(200, 'ok');
+      const running = await request('/read/', 0);
+      directory.closeZones({ revision: 1, zones: ['a', 'b'] });
+      await clock.advance(100);
+      expect(running.outcome).toBe('200');
+      directory.closeZones({ revision: 2, zones: [] });
+      expect((await request('/read/')).outcome).toBe('200');
+    });
+  });
+
   test('ignores a configuration that is older than the one in force', () => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
     gateway.configure({ version: 1, routes: [], services: new Map(), limits });
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -166,10 +166,13 @@
       this.rejectQuarantined(refusal);
       return;
     }
-    const rejection = scope.isNotRun ? 'overloaded' : 'endpoint-failed';
+    const isOutOfService = this.deps.balancer.isOutOfService(scope.service);
+    const notRun = isOutOfService ? 'no-endpoint' : 'overloaded';
+    const rejection = scope.isNotRun ? notRun : 'endpoint-failed';
     const limitDelay = this.deps.balancer.limitDelay(scope.service);
     const roomDelay = outcome.kind === 'no-room' ? outcome.retryAfter : 0;
-    const retryAfter = Math.max(RETRY_AFTER_MS, limitDelay, roomDelay);
+    const zoneDelay = isOutOfService ? types.OUT_OF_SERVICE_RETRY_AFTER_MS : 0;
+    const retryAfter = Math.max(RETRY_AFTER_MS, limitDelay, roomDelay, zoneDelay);
     this.log('rejected', { rejection, last: outcome.kind, limitDelay: Math.round(limitDelay) });
     this.deps.metrics.count('refused', { reason: rejection });
     scope.responder.reject(rejection, retryAfter);
@@ -306,7 +309,7 @@
       if (scope.isFinished) {
         return { kind: 'over' };
       }
-      if (isGranted) {
+      if (isGranted && deps.caller.isOpen(endpoint)) {
         return this.sendTo(endpoint);
       }
       const delay = Math.round(deps.permits.delayOf(endpoint.id));
--- a/src/gateway/ServiceBalancer.ts
+++ b/src/gateway/ServiceBalancer.ts
@@ -104,6 +104,11 @@
     return ranked[0]?.endpoint;
   }
 
+  /** Whether a service has endpoints, all of them in zones out of service. */
+  isOutOfService(service: string): boolean {
+    return this.directory.isOutOfService(service);
+  }
+
   /** Time until the rate limits of a service's endpoints allow another request; 0 if they do now. */
   limitDelay(service: string): commonTypes.Millis {
     const delays = this.directory.ready(service).map(({ id }) => this.permits.delayOf(id));
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -9,6 +9,9 @@
 import type * as routing from '../routing/Types.js';
 import type * as retryBudget from './RetryBudget.js';
 
+/** Retry-After value while all endpoints of a service are in zones out of service; an operator returns them. */
+export const OUT_OF_SERVICE_RETRY_AFTER_MS = 1000;
+
 /** Alternating header names and values, in the format of `rawHeaders` of `node:http`. */
 export type RawHeaders = readonly string[];
 
@@ -178,8 +181,10 @@
 
 /** Sends requests to endpoints. */
 export interface IEndpointCaller {
-  /** Starts a call and returns at once. */
+  /** Starts a call and returns at once. A call to an endpoint whose zone is out of service fails unsent. */
   send(call: IEndpointCall): IStartedCall;
+  /** Whether the zone of an endpoint is in service, so that it may get a new request. */
+  isOpen(endpoint: routing.IEndpoint): boolean;
   /** Whether this VM has lost its own path to an endpoint, so that a failed call says nothing about the endpoint. */
   hasLostPath(endpoint: routing.IEndpoint): Promise<boolean>;
   /** Whether this VM has lost its own path to an endpoint, or to any other, as far as is known without a check. */
--- a/src/relay/Relay.test.ts
+++ b/src/relay/Relay.test.ts
@@ -21,6 +21,7 @@
   readonly connector: fakeConnector.FakeConnector;
   readonly server: relayServer.RelayServer;
   isPathLost: boolean;
+  isZoneOpen: boolean;
 }
 
 describe('tunnels through relays', () => {
@@ -37,10 +38,12 @@
       address,
       connector: fake,
       isPathLost: false,
+      isZoneOpen: true,
       server: new relayServer.RelayServer({
         clock,
         connector: fake,
         isEndpoint: (known) => known === endpointAddress,
+        isOpen: () => vm.isZoneOpen,
         isPathLost: () => vm.isPathLost,
         logService,
         metrics,
@@ -86,6 +89,15 @@
     endpoint.close();
   });
 
+  test('are refused by a VM that knows the zone to be out of service; open ones go on', async () => {
+    const socket = await connect();
+    vms.forEach((vm) => Object.assign(vm, { isZoneOpen: false }));
+    await expect(connect()).rejects.toThrow('503');
+    socket.write('x');
+    expect(await firstEvent(socket)).toBe('echo x');
+    socket.destroy();
+  });
+
   test('pass bytes both ways', async () => {
     const socket = await connect();
     socket.write('hello');
--- a/src/relay/RelayServer.ts
+++ b/src/relay/RelayServer.ts
@@ -25,7 +25,7 @@
   unreachable: 504,
   /** The address is not in the endpoint list. */
   unknown: 403,
-  /** The relay has lost its path, too, or takes no tunnel now. */
+  /** The relay has lost its path, too, takes no tunnel now, or the endpoint's zone is out of service. */
   unavailable: 503,
 } as const;
 
@@ -36,6 +36,8 @@
   readonly connector: types.IConnector;
   /** Whether an address belongs to an endpoint in the current list. */
   readonly isEndpoint: (address: string) => boolean;
+  /** Whether the zone of an address is in service; absent means that it always is. */
+  readonly isOpen?: (address: string) => boolean;
   /** Whether this VM has lost its own path to an endpoint. */
   readonly isPathLost: (address: string) => boolean;
   readonly logService: commonServices.ILogService;
@@ -123,6 +125,9 @@
     if (!deps.isEndpoint(address)) {
       return { status: STATUSES.unknown, reason: 'not an endpoint in the list' };
     }
+    if (deps.isOpen?.(address) === false) {
+      return { status: STATUSES.unavailable, reason: 'zone out of service' };
+    }
     if (this.isDraining || tunnels.size >= MAX_TUNNELS) {
       return {
         status: STATUSES.unavailable,
--- a/src/room/EndpointRooms.ts
+++ b/src/room/EndpointRooms.ts
@@ -155,7 +155,7 @@
   private open(roomId: string, endpointId: string): types.IRoom | types.IRoomRefusal {
     const { directory, link } = this.deps;
     const endpoint = directory.current.endpoints.find(({ id }) => id === endpointId);
-    if (endpoint === undefined) {
+    if (endpoint === undefined || !directory.isOpen(endpoint)) {
       link.releaseRoom(roomId, 'cancelled');
       return { retryAfter: RETRY_AFTER_MS };
     }
