--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -122,6 +122,10 @@
   readonly waiting: number;
   /** Requests that the endpoint runs concurrently. */
   readonly slots: number;
+  /**
+   * Time that work takes there at this moment, relative to the usual time there; absent if the endpoint does not say.
+   */
+  readonly slowdown?: number;
 }
 
 /** Head of an endpoint's response, and its body as a stream. */
