Hold cold endpoints to the warm-up rate of their service, over all VMs

Cause: an endpoint that started lately, or says that it is cold, got requests as any other. After a zone's return or a restart the placer found it empty, and so cheapest, and sent it all that came.

Change: IRateSource is what the limiters and permits ask for rates. ColdEndpoints is the second source beside RateLimitTable, EndpointRates has the lower of both; buckets, permits, local slots and placing stay as they were. An endpoint is cold by what the list says (coldLeftMs), by its own answer (Cold-Ms), when it is added to the list or gets requests again, and after a refused connection. The time left goes over the feed in a message of its own ('cold'), not in the list, which would change with every read. Services without coldS and coldPerS above 0 have no such limit.

Changed in test scaffolding: RateLimitNetwork.injectFault takes the fault by name, drawn as before if there is none.

--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -11,6 +11,8 @@
 import * as streamVersions from '../coordination/StreamVersions.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import * as endpointPoller from '../routing/EndpointPoller.js';
+import type * as coldEndpoints from '../ratelimit/ColdEndpoints.js';
+import * as endpointRates from '../ratelimit/EndpointRates.js';
 import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
 import * as sharedRateLimiter from '../ratelimit/SharedRateLimiter.js';
 import * as roomKeeper from '../room/RoomKeeper.js';
@@ -78,6 +80,8 @@
   readonly stageCaller: batching.IStageCaller;
   /** Rate limits that responses to the stage caller state. */
   readonly rateLimitTable: rateLimitTable.RateLimitTable;
+  /** Endpoints that are cold, as the stage caller and the endpoint list say. */
+  readonly cold: coldEndpoints.ColdEndpoints;
   /** Rejections in a second that endpoints bear, as responses to the stage caller state them. */
   readonly rejectionLimits: rateLimitTable.RateLimitTable;
   /** Checks whether engines that fail requests have crashed. */
@@ -135,13 +139,14 @@
     disposables.add(log);
     const directory = new endpointDirectory.EndpointDirectory();
     const { stageCaller: caller, metrics, rateLimitTable: limits, crashConfirmer } = dependencies;
-    const { rejectionLimits } = dependencies;
+    const { rejectionLimits, cold } = dependencies;
+    disposables.add(cold.follow(directory));
     const rooms = disposables.add(
       new roomKeeper.RoomKeeper({ clock, directory, limits: rejectionLimits, logService, metrics }),
     );
     const crashes = new blameTable.BlameTable({ clock, logService, metrics });
     const rateLimiter = new sharedRateLimiter.SharedRateLimiter(
-      limits,
+      new endpointRates.EndpointRates([limits, cold]),
       clock,
       () => log.status().role === 'leader',
     );
@@ -183,6 +188,7 @@
         coordinator,
         rateLimitTable: limits,
         rateLimiter,
+        cold,
         blameTable: crashes,
         rejectionLimits,
         roomKeeper: rooms,
@@ -278,7 +284,9 @@
 ): void {
   const applyDocument = ({ version, text }: documentState.IDocument): void => {
     try {
-      coordinator.configure(dependencies.parse(text));
+      const table = dependencies.parse(text);
+      dependencies.cold.configure(table.services);
+      coordinator.configure(table);
       dependencies.logService.info('config-in-force', { version });
     } catch (err) {
       dependencies.logService.error('config-unreadable', {
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -123,6 +123,8 @@
     readonly rateLimits.IRateLimitObservation[]
   >();
 
+  private readonly coldEmitter = new emitter.Emitter<readonly rateLimits.IColdStatement[]>();
+
   private readonly rejectionLimitsEmitter = new emitter.Emitter<
     readonly rateLimits.IRateLimitObservation[]
   >();
@@ -151,6 +153,9 @@
   /** @inheritdoc */
   readonly onRateLimits = this.rateLimitsEmitter.event;
 
+  /** @inheritdoc */
+  readonly onCold = this.coldEmitter.event;
+
   /** @inheritdoc */
   readonly onRejectionLimits = this.rejectionLimitsEmitter.event;
 
@@ -264,6 +269,13 @@
     }
   }
 
+  /** @inheritdoc */
+  sendCold(statements: readonly rateLimits.IColdStatement[]): void {
+    if (statements.length > 0) {
+      this.send({ kind: 'cold', statements });
+    }
+  }
+
   /** @inheritdoc */
   sendRejectionLimits(observations: readonly rateLimits.IRateLimitObservation[]): void {
     if (observations.length > 0) {
@@ -520,6 +532,9 @@
       case 'limits':
         this.rateLimitsEmitter.fire(message.observations);
         break;
+      case 'cold':
+        this.coldEmitter.fire(message.statements);
+        break;
       case 'rejection-limits':
         this.rejectionLimitsEmitter.fire(message.observations);
         break;
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -6,6 +6,7 @@
 import type * as commonServices from '../common/services/Services.js';
 import type * as documentState from '../control/document/DocumentState.js';
 import type * as controlTypes from '../control/Types.js';
+import type * as coldEndpoints from '../ratelimit/ColdEndpoints.js';
 import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
@@ -72,6 +73,8 @@
   readonly coordinator: coordinator.Coordinator;
   readonly rateLimitTable: rateLimitTable.RateLimitTable;
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
+  /** Endpoints that are cold; absent if none can be. */
+  readonly cold?: coldEndpoints.ColdEndpoints;
   readonly blameTable: blameTable.BlameTable;
   /** Rejections in a second that endpoints bear. */
   readonly rejectionLimits: rateLimitTable.RateLimitTable;
@@ -139,6 +142,8 @@
       deps.rateLimitTable,
       deps.rateLimiter,
       (message) => this.broadcast(message),
+      'limits',
+      deps.cold && { endpoints: deps.cold, clock },
     );
     this.roomExchange = new roomExchange.RoomExchange(
       deps.roomKeeper,
@@ -333,6 +338,9 @@
       case 'limits':
         this.rateLimitExchange.handleLimits(session.vm, message.observations, send);
         break;
+      case 'cold':
+        this.rateLimitExchange.handleCold(message.statements);
+        break;
       case 'room':
       case 'room-end':
       case 'rooms':
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -164,6 +164,8 @@
   | { readonly kind: 'endpoints'; readonly list: routing.IEndpointList }
   /** Rate limits that the entry VM has seen, where the coordinator may not know them. */
   | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
+  /** Cold endpoints that the entry VM knows of, where the coordinator may not know them. */
+  | { readonly kind: 'cold'; readonly statements: readonly rateLimits.IColdStatement[] }
   /** Rejections in a second that endpoints bear, as the entry VM has seen them. */
   | {
       readonly kind: 'rejection-limits';
@@ -221,6 +223,8 @@
   | { readonly kind: 'made'; readonly made: readonly IPlanResult[] }
   /** Rate limits that any VM has seen. */
   | { readonly kind: 'limits'; readonly observations: readonly rateLimits.IRateLimitObservation[] }
+  /** Endpoints that are cold, as any VM knows. */
+  | { readonly kind: 'cold'; readonly statements: readonly rateLimits.IColdStatement[] }
   /** Rejections in a second that endpoints bear, as any VM has seen them. */
   | {
       readonly kind: 'rejection-limits';
--- a/src/coordination/testing/RateLimitNetwork.ts
+++ b/src/coordination/testing/RateLimitNetwork.ts
@@ -6,6 +6,13 @@
 import * as simulatedEndpoint from './SimulatedEndpoint.js';
 import * as simulatedVm from './SimulatedVm.js';
 
+/** Interval at which a coordinator reads the endpoint list. */
+const LIST_INTERVAL_MS = 900;
+
+/** A fault that a network can be given. */
+export type NetworkFault = 'successor' | 'restart' | 'all-links' | 'one-link';
+const FAULTS: readonly NetworkFault[] = ['successor', 'restart', 'all-links', 'one-link'];
+
 /** Entry VMs and coordinators before one endpoint that names a rate limit, in virtual time. */
 export class RateLimitNetwork {
   private readonly random: commonTypes.IRandom;
@@ -51,16 +58,28 @@
     }
   }
 
-  /** Injects one fault at random: a new coordinator, a lost connection or a restart of VMs. */
-  injectFault(): void {
-    const kind = this.random.nextInt(4);
-    if (kind === 0) {
+  /** The endpoint is cold for `duration`; the coordinator reads so in the endpoint list. */
+  startCold(duration: commonTypes.Millis): void {
+    const end = this.clock.monotonic() + duration;
+    const readList = (): void => {
+      const left = end - this.clock.monotonic();
+      if (left > 0) {
+        this.coordinator.cold.recordListed([{ endpointId: simulatedEndpoint.ENDPOINT_ID, left }]);
+        this.clock.setTimer(LIST_INTERVAL_MS, readList);
+      }
+    };
+    readList();
+  }
+
+  /** Injects one fault: a new coordinator, a restart of a VM, or the loss of all connections or of one. */
+  injectFault(fault = FAULTS[this.random.nextInt(FAULTS.length)]): void {
+    if (fault === 'successor') {
       this.replaceCoordinator();
-    } else if (kind === 1) {
+    } else if (fault === 'restart') {
       const vm = this.randomVm();
       vm.restart();
       this.audit.recordRestart(vm.name);
-    } else if (kind === 2) {
+    } else if (fault === 'all-links') {
       this.vms.forEach((vm) => vm.link.disconnect());
     } else {
       this.randomVm().link.disconnect();
--- a/src/coordination/testing/SimulatedLink.ts
+++ b/src/coordination/testing/SimulatedLink.ts
@@ -23,6 +23,10 @@
     readonly rateLimits.IRateLimitObservation[]
   >();
 
+  private readonly coldEmitter = new emitter.Emitter<readonly rateLimits.IColdStatement[]>();
+
+  readonly onCold = this.coldEmitter.event;
+
   readonly onCoordinatorFound = this.coordinatorFoundEmitter.event;
 
   readonly onPermit = this.permitEmitter.event;
@@ -71,6 +75,8 @@
         this.permitEmitter.fire(message.answer);
       } else if (message.kind === 'limits') {
         this.rateLimitsEmitter.fire(message.observations);
+      } else if (message.kind === 'cold') {
+        this.coldEmitter.fire(message.statements);
       }
     });
   }
@@ -91,6 +97,11 @@
     );
   }
 
+  /** @inheritdoc */
+  sendCold(statements: readonly rateLimits.IColdStatement[]): void {
+    this.deliver((coordinator) => coordinator.exchange.handleCold(statements));
+  }
+
   private deliver(action: (coordinator: simulatedCoordinator.SimulatedCoordinator) => void): void {
     const { coordinator, connectionNumber, clock } = this;
     if (coordinator === undefined) {
--- a/src/coordination/testing/SimulatedVm.ts
+++ b/src/coordination/testing/SimulatedVm.ts
@@ -1,6 +1,8 @@
 import * as recordingMetrics from '../../common/testing/RecordingMetricsService.js';
 import type * as commonTypes from '../../common/Types.js';
+import type * as coldEndpoints from '../../ratelimit/ColdEndpoints.js';
 import * as endpointPermits from '../../ratelimit/EndpointPermits.js';
+import * as endpointRates from '../../ratelimit/EndpointRates.js';
 import * as localRateLimiter from '../../ratelimit/LocalRateLimiter.js';
 import type * as rateLimitTable from '../../ratelimit/RateLimitTable.js';
 import * as simulatedEndpoint from './SimulatedEndpoint.js';
@@ -18,6 +20,9 @@
   /** What it knows of limits. */
   table: rateLimitTable.RateLimitTable;
 
+  /** What it knows of cold endpoints. */
+  cold: coldEndpoints.ColdEndpoints;
+
   private permits: endpointPermits.EndpointPermits;
 
   /** Not connected to a coordinator yet. */
@@ -29,6 +34,7 @@
   ) {
     this.link = new simulatedLink.SimulatedLink(clock, random);
     this.table = tables.makeTable(clock);
+    this.cold = tables.makeCold(clock, simulatedEndpoint.ENDPOINT_ID);
     this.permits = this.makePermits();
   }
 
@@ -52,14 +58,17 @@
   restart(): void {
     this.link.disconnect();
     this.table = tables.makeTable(this.clock);
+    this.cold = tables.makeCold(this.clock, simulatedEndpoint.ENDPOINT_ID);
     this.permits = this.makePermits();
   }
 
   private makePermits(): endpointPermits.EndpointPermits {
-    const { table, link, clock, random, vmCount } = this;
+    const { table, cold, link, clock, random, vmCount } = this;
+    const rates = new endpointRates.EndpointRates([table, cold]);
     return new endpointPermits.EndpointPermits({
       table,
-      local: new localRateLimiter.LocalRateLimiter(table, clock, random, () => vmCount),
+      cold,
+      local: new localRateLimiter.LocalRateLimiter(rates, clock, random, () => vmCount),
       link,
       clock,
       metrics: new recordingMetrics.RecordingMetricsService(),
--- a/src/ratelimit/EndpointPermits.ts
+++ b/src/ratelimit/EndpointPermits.ts
@@ -1,5 +1,7 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
+import type * as coldEndpoints from './ColdEndpoints.js';
+import * as endpointRates from './EndpointRates.js';
 import type * as rateLimitTable from './RateLimitTable.js';
 import type * as types from './Types.js';
 
@@ -13,6 +15,8 @@
 /** Components that permits use. */
 export interface IEndpointPermitsDependencies {
   readonly table: rateLimitTable.RateLimitTable;
+  /** Endpoints that are cold; absent if none can be. */
+  readonly cold?: coldEndpoints.ColdEndpoints;
   /** Limiter in use while no coordinator is connected, or it does not answer. */
   readonly local: types.IEndpointRateLimiter;
   readonly link: types.ICoordinatorLink;
@@ -22,7 +26,8 @@
 
 /**
  * Permits of an entry VM. The coordinator grants each of them, so that the VMs keep a limit together and a VM with much
- * demand gets what others do not need. Also exchanges the rate limits that VMs have seen with the coordinator.
+ * demand gets what others do not need. Also exchanges the rate limits and cold endpoints that VMs have seen with the
+ * coordinator.
  */
 export class EndpointPermits implements types.IPermitService {
   private readonly pending = new Map<number, (answer: types.IPermitAnswer | undefined) => void>();
@@ -30,13 +35,17 @@
   /** Times on the monotonic clock before which no permit is requested, by endpoint. */
   private readonly pausedUntil = new Map<string, commonTypes.Millis>();
 
+  private readonly rates: types.IRateSource;
+
   private nextPermitId = 1;
 
   private localUntil: commonTypes.Millis = 0;
 
   /** Starts the exchange over the link. */
   constructor(private readonly deps: IEndpointPermitsDependencies) {
-    const { table, link } = deps;
+    const { table, link, cold } = deps;
+    this.rates = cold === undefined ? table : new endpointRates.EndpointRates([table, cold]);
+    this.rates.onChange(({ endpointId }) => this.pausedUntil.delete(endpointId));
     link.onCoordinatorFound(() => link.sendRateLimits(table.observations));
     link.onPermit((answer) => this.pending.get(answer.permitId)?.(answer));
     link.onRateLimits((observations) => {
@@ -46,17 +55,19 @@
       }
     });
     table.onChange(({ endpointId, isOwn }) => {
-      this.pausedUntil.delete(endpointId);
       const observation = table.observationOf(endpointId);
       if (isOwn && observation !== undefined) {
         link.sendRateLimits([observation]);
       }
     });
+    if (cold !== undefined) {
+      this.exchangeCold(cold);
+    }
   }
 
   /** @inheritdoc */
   isLimited(endpointId: string): boolean {
-    return this.deps.table.limitOf(endpointId) !== undefined;
+    return this.rates.limitOf(endpointId) !== undefined;
   }
 
   /** @inheritdoc */
@@ -85,6 +96,18 @@
     return isGranted;
   }
 
+  private exchangeCold(cold: coldEndpoints.ColdEndpoints): void {
+    const { link } = this.deps;
+    link.onCoordinatorFound(() => link.sendCold(cold.statements));
+    link.onCold((statements) => cold.merge(statements));
+    cold.onChange(({ endpointId, isOwn }) => {
+      const statement = cold.statementOf(endpointId);
+      if (isOwn && statement !== undefined) {
+        link.sendCold([statement]);
+      }
+    });
+  }
+
   private get hasAnsweringCoordinator(): boolean {
     const { link, clock } = this.deps;
     return link.isConnected && clock.monotonic() >= this.localUntil;
--- /dev/null
+++ b/src/ratelimit/EndpointRates.ts
@@ -0,0 +1,26 @@
+import * as emitter from '../common/Emitter.js';
+import type * as types from './Types.js';
+
+/** The lowest of the rates that several sources know of an endpoint. */
+export class EndpointRates implements types.IRateSource {
+  private readonly changeEmitter = new emitter.Emitter<types.IRateLimitChange>();
+
+  /** @inheritdoc */
+  readonly onChange = this.changeEmitter.event;
+
+  /** Follows the sources. */
+  constructor(private readonly sources: readonly types.IRateSource[]) {
+    sources.forEach((source) => source.onChange((change) => this.changeEmitter.fire(change)));
+  }
+
+  /** @inheritdoc */
+  limitOf(endpointId: string): number | undefined {
+    const limits = this.sources.flatMap((source) => source.limitOf(endpointId) ?? []);
+    return limits.length === 0 ? undefined : Math.min(...limits);
+  }
+
+  /** @inheritdoc */
+  get limitedIds(): readonly string[] {
+    return [...new Set(this.sources.flatMap(({ limitedIds }) => limitedIds))];
+  }
+}
--- a/src/ratelimit/EndpointSignals.ts
+++ b/src/ratelimit/EndpointSignals.ts
@@ -7,6 +7,7 @@
   constructor(
     private readonly rates: rateLimitTable.RateLimitTable,
     private readonly rejections: rateLimitTable.RateLimitTable,
+    private readonly cold: types.IColdObserver,
   ) {}
 
   /** @inheritdoc */
@@ -24,4 +25,14 @@
   recordRejectionLimit(statement: types.IRateLimitStatement): void {
     this.rejections.recordStatement(statement);
   }
+
+  /** @inheritdoc */
+  recordCold(statement: types.IColdStatement): void {
+    this.cold.recordAnswered(statement);
+  }
+
+  /** @inheritdoc */
+  recordCrash(endpointId: string): void {
+    this.cold.recordCrash(endpointId);
+  }
 }
--- a/src/ratelimit/LocalRateLimiter.ts
+++ b/src/ratelimit/LocalRateLimiter.ts
@@ -1,5 +1,4 @@
 import type * as commonTypes from '../common/Types.js';
-import type * as rateLimitTable from './RateLimitTable.js';
 import * as sharedRateLimiter from './SharedRateLimiter.js';
 import type * as types from './Types.js';
 
@@ -22,12 +21,12 @@
 
   /** `entryVmCount` returns the number of entry VMs that share the rates. */
   constructor(
-    private readonly table: rateLimitTable.RateLimitTable,
+    private readonly rates: types.IRateSource,
     private readonly clock: commonTypes.IClock,
     private readonly random: commonTypes.IRandom,
     private readonly entryVmCount: () => number,
   ) {
-    table.onChange(({ endpointId }) => this.slots.delete(endpointId));
+    rates.onChange(({ endpointId }) => this.slots.delete(endpointId));
   }
 
   /** @inheritdoc */
@@ -54,7 +53,7 @@
   }
 
   private sharedRateOf(endpointId: string): number | undefined {
-    const limit = this.table.limitOf(endpointId);
+    const limit = this.rates.limitOf(endpointId);
     return limit === undefined
       ? undefined
       : Math.max(limit, sharedRateLimiter.MIN_RATE) * USABLE_RATIO;
--- a/src/ratelimit/RateLimitTable.ts
+++ b/src/ratelimit/RateLimitTable.ts
@@ -45,14 +45,14 @@
  * unknown and the lower limit holds. Tables that exchange their observations therefore agree, in whatever order these
  * arrive. Its size is bounded by the endpoints that named a limit and are listed, or were within RETENTION_MS.
  */
-export class RateLimitTable {
+export class RateLimitTable implements types.IRateSource {
   private readonly kind: LimitKind;
 
   private readonly records = new Map<string, IRecord>();
 
   private readonly changeEmitter = new emitter.Emitter<types.IRateLimitChange>();
 
-  /** Fires after the limit of an endpoint changed. */
+  /** @inheritdoc */
   readonly onChange = this.changeEmitter.event;
 
   /** Creates an empty table. */
@@ -71,11 +71,14 @@
     return limit === NO_LIMIT ? undefined : limit;
   }
 
+  /** @inheritdoc */
+  get limitedIds(): readonly string[] {
+    return [...this.records.keys()].filter((id) => this.limitOf(id) !== undefined);
+  }
+
   /** Observations of all endpoints that name a limit. */
   get observations(): readonly types.IRateLimitObservation[] {
-    return [...this.records.keys()]
-      .filter((id) => this.limitOf(id) !== undefined)
-      .map((id) => this.observationOf(id) as types.IRateLimitObservation);
+    return this.limitedIds.map((id) => this.observationOf(id) as types.IRateLimitObservation);
   }
 
   /** What is known of an endpoint; undefined if it never named a limit, or long ago. */
--- a/src/ratelimit/SharedRateLimiter.ts
+++ b/src/ratelimit/SharedRateLimiter.ts
@@ -1,5 +1,4 @@
 import type * as commonTypes from '../common/Types.js';
-import type * as rateLimitTable from './RateLimitTable.js';
 import * as tokenBucket from './TokenBucket.js';
 import type * as types from './Types.js';
 
@@ -25,17 +24,17 @@
 
   /** `isConfirmed` returns whether a quorum confirms that this VM is the coordinator. */
   constructor(
-    private readonly table: rateLimitTable.RateLimitTable,
+    private readonly rates: types.IRateSource,
     private readonly clock: commonTypes.IClock,
     private readonly isConfirmed: () => boolean,
   ) {
-    table.onChange(({ endpointId }) => this.followTable(endpointId));
-    table.observations.forEach(({ endpointId }) => this.followTable(endpointId));
+    rates.onChange(({ endpointId }) => this.followRate(endpointId));
+    rates.limitedIds.forEach((endpointId) => this.followRate(endpointId));
   }
 
   /** @inheritdoc */
   rateOf(endpointId: string): number | undefined {
-    const limit = this.table.limitOf(endpointId);
+    const limit = this.rates.limitOf(endpointId);
     return limit === undefined ? undefined : this.grantedRate(limit);
   }
 
@@ -53,11 +52,11 @@
   reset(): void {
     const endpointIds = [...this.buckets.keys()];
     this.buckets.clear();
-    endpointIds.forEach((endpointId) => this.followTable(endpointId));
+    endpointIds.forEach((endpointId) => this.followRate(endpointId));
   }
 
-  private followTable(endpointId: string): void {
-    if (this.table.limitOf(endpointId) === undefined) {
+  private followRate(endpointId: string): void {
+    if (this.rates.limitOf(endpointId) === undefined) {
       this.buckets.delete(endpointId);
     } else if (!this.buckets.has(endpointId)) {
       const bucket = new tokenBucket.TokenBucket(this.clock, () => this.sizeOf(endpointId));
@@ -66,7 +65,7 @@
   }
 
   private sizeOf(endpointId: string): tokenBucket.IBucketSize {
-    const rate = this.grantedRate(this.table.limitOf(endpointId) ?? 0);
+    const rate = this.grantedRate(this.rates.limitOf(endpointId) ?? 0);
     return { rate, capacity: BURST_CALLS + rate * BURST_RATIO };
   }
 
--- a/src/ratelimit/Types.ts
+++ b/src/ratelimit/Types.ts
@@ -27,6 +27,22 @@
  */
 export type CallKind = 'request' | 'stage' | 'release' | 'probe';
 
+/** How much longer an endpoint is cold: it has started lately, or says so, and bears a limited rate only. */
+export interface IColdStatement {
+  readonly endpointId: string;
+  readonly left: commonTypes.Millis;
+}
+
+/** Observes what is said of endpoints that are cold. */
+export interface IColdObserver {
+  /** Records what the endpoint list says of all its endpoints, before the list itself is used. */
+  recordListed(statements: readonly IColdStatement[]): void;
+  /** Records what an endpoint says of itself. */
+  recordAnswered(statement: IColdStatement): void;
+  /** Records that nothing listens at an endpoint's address: it will have started lately when it answers again. */
+  recordCrash(endpointId: string): void;
+}
+
 /** Observes the calls of this VM to endpoints. */
 export interface ICallObserver {
   /** Records that a call leaves for an endpoint. */
@@ -35,6 +51,10 @@
   recordStatement(statement: IRateLimitStatement): void;
   /** Records what a response says about the number of rejections in a second that its endpoint bears. */
   recordRejectionLimit(statement: IRateLimitStatement): void;
+  /** Records that an endpoint says how much longer it is cold. */
+  recordCold(statement: IColdStatement): void;
+  /** Records that nothing listens at an endpoint's address. */
+  recordCrash(endpointId: string): void;
 }
 
 /**
@@ -58,7 +78,17 @@
   readonly isOwn: boolean;
 }
 
-/** Limits the calls to endpoints that name a rate limit. */
+/** Knows the rates to which requests to endpoints are limited, for a reason of its own. */
+export interface IRateSource {
+  /** Fires after the rate of an endpoint may have changed. */
+  readonly onChange: commonTypes.IEvent<IRateLimitChange>;
+  /** Requests per second that an endpoint accepts from all VMs together; undefined if they are not limited. */
+  limitOf(endpointId: string): number | undefined;
+  /** Ids of all endpoints with a limit. */
+  readonly limitedIds: readonly string[];
+}
+
+/** Limits the calls to endpoints that name a rate limit, or are cold. */
 export interface IEndpointRateLimiter {
   /** Calls per second that may be sent to an endpoint; undefined if they are not limited. */
   rateOf(endpointId: string): number | undefined;
@@ -70,7 +100,7 @@
 
 /** Permissions to send requests to endpoints that name a rate limit, for an entry VM that chooses endpoints itself. */
 export interface IPermitService {
-  /** Whether an endpoint names a rate limit. */
+  /** Whether an endpoint names a rate limit or is cold. */
   isLimited(endpointId: string): boolean;
   /** Time until it makes sense to request a permit for an endpoint; 0 for now. */
   delayOf(endpointId: string): commonTypes.Millis;
@@ -99,8 +129,12 @@
   readonly onPermit: commonTypes.IEvent<IPermitAnswer>;
   /** Fires for the observations that a control VM sends. */
   readonly onRateLimits: commonTypes.IEvent<readonly IRateLimitObservation[]>;
+  /** Fires for the cold endpoints that a control VM sends. */
+  readonly onCold: commonTypes.IEvent<readonly IColdStatement[]>;
   /** Requests a permit; has no effect while no coordinator is connected. */
   requestPermit(permitId: number, endpointId: string): void;
   /** Sends observations; has no effect while no coordinator is connected. */
   sendRateLimits(observations: readonly IRateLimitObservation[]): void;
+  /** Sends cold endpoints; has no effect while no coordinator is connected. */
+  sendCold(statements: readonly IColdStatement[]): void;
 }
--- a/src/ratelimit/testing/FakeCoordinatorLink.ts
+++ b/src/ratelimit/testing/FakeCoordinatorLink.ts
@@ -21,6 +21,10 @@
 
   readonly rateLimits = new emitter.Emitter<readonly types.IRateLimitObservation[]>();
 
+  readonly cold = new emitter.Emitter<readonly types.IColdStatement[]>();
+
+  readonly onCold = this.cold.event;
+
   readonly onCoordinatorFound = this.coordinatorFound.event;
 
   readonly onPermit = this.permit.event;
@@ -40,4 +44,7 @@
   sendRateLimits(observations: readonly types.IRateLimitObservation[]): void {
     this.sent.push(...observations);
   }
+
+  /** @inheritdoc */
+  sendCold(): void {}
 }
--- a/src/ratelimit/testing/RecordingCallObserver.ts
+++ b/src/ratelimit/testing/RecordingCallObserver.ts
@@ -8,6 +8,10 @@
 
   readonly rejectionLimits: types.IRateLimitStatement[] = [];
 
+  readonly cold: types.IColdStatement[] = [];
+
+  readonly crashes: string[] = [];
+
   /** @inheritdoc */
   recordCall(endpointId: string, kind: types.CallKind): void {
     this.calls.push({ endpointId, kind });
@@ -22,4 +26,14 @@
   recordRejectionLimit(statement: types.IRateLimitStatement): void {
     this.rejectionLimits.push(statement);
   }
+
+  /** @inheritdoc */
+  recordCold(statement: types.IColdStatement): void {
+    this.cold.push(statement);
+  }
+
+  /** @inheritdoc */
+  recordCrash(endpointId: string): void {
+    this.crashes.push(endpointId);
+  }
 }
--- a/src/routing/Types.ts
+++ b/src/routing/Types.ts
@@ -69,6 +69,14 @@
   readonly cacheTokens: number;
 }
 
+/** What an endpoint bears for some time after its start, and whenever it says that it is cold. */
+export interface IWarmUp {
+  /** Time from the start of an endpoint for which it is cold. */
+  readonly duration: commonTypes.Millis;
+  /** Requests per second that a cold endpoint bears from all VMs together. */
+  readonly rate: number;
+}
+
 /** A named group of interchangeable endpoints. */
 export interface IService {
   readonly name: string;
@@ -78,6 +86,8 @@
   readonly batch?: IBatchLimits;
   /** Set for services that run a model engine. */
   readonly engine?: IEngineLimits;
+  /** Set for services whose endpoints bear a limited rate only while they are cold. */
+  readonly warmUp?: IWarmUp;
 }
 
 /** A workspace and the API keys that identify its requests. */
