Let VMs that plan alone back off from full stage endpoints and admit their share

Cause: each VM planned as if endpoints were its own: it called the first endpoint of the list, at once and again after 120 ms, and admitted what all endpoints can do. Change: EndpointContention, used by the fallback coordinator only. A full endpoint doubles the time to the VM's next call to that service, up to half of the time that gives all VMs the same share; what waits goes in one call. Endpoints are ranked by rendezvous hashing of VM and endpoint. The VM admits what its share of the calls serves, behind the time until a call is expected to be accepted. The number of VMs comes from the feed; a coordinator for all VMs has no contention and plans as before. The hash moves out of src/entry/routing/Subset.ts. No test was changed.

--- a/src/batching/ReplicaChoice.ts
+++ b/src/batching/ReplicaChoice.ts
@@ -19,7 +19,8 @@
 }
 
 /**
- * Sorts endpoints by speed, then by zone (that of the most urgent group's inputs first), then by free room.
+ * Sorts endpoints by speed, then by zone (that of the most urgent group's inputs first), then by weight, the highest
+ * first, then by free room.
  *
  * @example
  * const [first] = rankReplicas(usable, group.preferredZone);
@@ -27,6 +28,7 @@
 export function rankReplicas(
   replicas: readonly stageReplica.StageReplica[],
   preferredZone: string | undefined,
+  weightOf: (endpointId: string) => number = () => 0,
 ): readonly stageReplica.StageReplica[] {
   const zoneRank = (replica: stageReplica.StageReplica): number =>
     replica.endpoint.availabilityZone === preferredZone ? 0 : 1;
@@ -34,7 +36,10 @@
     Math.round(replica.slowdown * 2);
   return [...replicas].sort(
     (a, b) =>
-      slowdownRank(a) - slowdownRank(b) || zoneRank(a) - zoneRank(b) || b.freeBytes - a.freeBytes,
+      slowdownRank(a) - slowdownRank(b) ||
+      zoneRank(a) - zoneRank(b) ||
+      weightOf(b.endpoint.id) - weightOf(a.endpoint.id) ||
+      b.freeBytes - a.freeBytes,
   );
 }
 
--- a/src/batching/StageScheduler.ts
+++ b/src/batching/StageScheduler.ts
@@ -4,6 +4,7 @@
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as batchChooser from './BatchChooser.js';
+import type * as endpointContention from './EndpointContention.js';
 import * as queuedGroup from './QueuedGroup.js';
 import * as replicaChoice from './ReplicaChoice.js';
 import * as stageDemand from './StageDemand.js';
@@ -49,6 +50,8 @@
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
   /** Rejections in a second that endpoints bear; absent if none names a limit. */
   readonly rejectionLimits?: rateLimitTable.RateLimitTable;
+  /** Contention for endpoints, of a VM that plans alone; absent if this planner plans for all. */
+  readonly contention?: endpointContention.EndpointContention;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
 }
@@ -125,10 +128,12 @@
    */
   demandDelay(priority: number, resultBytes: number): commonTypes.Millis {
     const slowdowns = this.unblockedSlowdowns();
-    return this.demand.delayFor(priority, resultBytes, {
+    const untilCall = this.dependencies.contention?.expectedDelayOf(this.serviceName) ?? 0;
+    const delay = this.demand.delayFor(priority, resultBytes, {
       items: this.throughput.estimate(slowdowns, this.limits),
       smallItems: stageThroughput.callThroughput(slowdowns, this.limits),
     });
+    return untilCall + delay;
   }
 
   /** Estimated time in milliseconds to start the queued items of this and more urgent priorities. */
@@ -265,7 +270,10 @@
     const withinLimit = usable.filter(({ endpoint }) => rateLimiter.delayOf(endpoint.id) === 0);
     const available = withinLimit.filter((replica) => replica.canStartCall(now));
     const preferredZone = this.mostUrgentGroup(now)?.group.preferredZone;
-    const ranked = replicaChoice.rankReplicas(available, preferredZone);
+    const { contention } = this.dependencies;
+    const ranked = replicaChoice.rankReplicas(available, preferredZone, (id) =>
+      contention === undefined ? 0 : contention.weightOf(id),
+    );
     const evenItems = this.maxItemsPerCall(ranked.length);
     const totalFree = all.reduce((sum, replica) => sum + replica.freeBytes, 0);
     const totalUsable = all.reduce((sum, replica) => sum + replica.usableBytes, 0);
@@ -355,6 +363,7 @@
       const results = await caller.run(replica.endpoint, items, timeout);
       const now = clock.monotonic();
       replica.recordCallEnd(batch.length, now - startedAt);
+      this.dependencies.contention?.recordCall(replica.endpoint.id, false);
       metrics.timing('stage_call', now - startedAt, { service: this.serviceName });
       batch.forEach((callItem, at) => this.settleItem(replica, callItem, results[at], startedAt));
       const failed = results.filter((result) => 'failure' in result).length;
@@ -369,6 +378,7 @@
       logService.warn('stage-call-failed', { ...fields, reason, message });
       metrics.count('stage_call_failed', { service: this.serviceName, reason });
       if (reason === 'full') {
+        this.dependencies.contention?.recordCall(replica.endpoint.id, true);
         const borne = this.dependencies.rejectionLimits?.limitOf(replica.endpoint.id);
         const isBrittle = borne !== undefined;
         replica.recordCallRefusal(now, isBrittle ? REJECTION_PAUSE_MS / Math.max(1, borne) : 0);
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -1,5 +1,6 @@
 import * as stageJob from '../batching/StageJob.js';
 import * as stageScheduler from '../batching/StageScheduler.js';
+import type * as endpointContention from '../batching/EndpointContention.js';
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import * as enginePlacer from '../placing/EnginePlacer.js';
@@ -25,6 +26,8 @@
   readonly rateLimiter: rateLimits.IEndpointRateLimiter;
   /** Room at brittle engines; absent if it is not bounded. */
   readonly rooms?: rooms.IRoomCheck;
+  /** Contention for stage endpoints, of a VM that plans alone; absent if this coordinator plans for all VMs. */
+  readonly contention?: endpointContention.EndpointContention;
   /** Rejections in a second that endpoints bear; absent if none names a limit. */
   readonly rejectionLimits?: rateLimitTable.RateLimitTable;
   /** Software versions that began the streams of requests; absent if nothing else records them. */
--- a/src/entry/routing/Subset.ts
+++ b/src/entry/routing/Subset.ts
@@ -1,20 +1,7 @@
 /** Stable bounded subsets of large pools, by rendezvous hashing. */
+import * as rendezvousHash from '../../common/RendezvousHash.js';
 import type * as configTypes from '../../config/Types.js';
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** 32-bit FNV-1a hash of a text with a final avalanche step. */
-function hash(text: string): number {
-  let value = FNV_OFFSET;
-  for (let index = 0; index < text.length; index++) {
-    value = Math.imul(value ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  value = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
-  value = Math.imul(value ^ (value >>> 13), 0xc2b2ae35);
-  return (value ^ (value >>> 16)) >>> 0;
-}
-
 function byZone(
   endpoints: readonly configTypes.IEndpoint[],
 ): ReadonlyMap<string, readonly configTypes.IEndpoint[]> {
@@ -46,7 +33,7 @@
   }
   const rankedByZone = [...byZone(endpoints).values()].map((zone) =>
     zone
-      .map((endpoint) => ({ endpoint, score: hash(`${entryId}/${endpoint.name}`) }))
+      .map((endpoint) => ({ endpoint, score: rendezvousHash.hash(`${entryId}/${endpoint.name}`) }))
       .sort((a, b) => b.score - a.score)
       .map((item) => item.endpoint),
   );
