Hand local plans back once a coordinator is connected

Cause: a VM without a coordinator went on with the plans that it had made itself after a coordinator was back, which knew nothing of them and called the same endpoints. Change: plans without an outcome are abandoned as lost when a coordinator is found; their requests are planned again, with the results that the VM had made (HeldResults, as after the loss of a coordinator). Lines planning-alone and plans-handed-back, one each an outage. FallbackPlanner.test.ts failed before (line 38: no listener for results; without it the plan stays open).

--- a/src/gateway/FallbackPlanner.ts
+++ b/src/gateway/FallbackPlanner.ts
@@ -1,5 +1,7 @@
 import type * as batching from '../batching/Types.js';
+import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
+import * as heldResults from '../coordination/HeldResults.js';
 import type * as coordination from '../coordination/Types.js';
 
 /** Planner that forwards to the coordinator, which plans for all entry VMs. */
@@ -8,12 +10,20 @@
   readonly isConnected: boolean;
   /** Time since the connection to the coordinator was lost; 0 while connected. */
   readonly disconnectedFor: commonTypes.Millis;
+  /** Fires when a coordinator is connected again. */
+  readonly onCoordinatorFound: commonTypes.IEvent<void>;
   /** Returns the stage results that were produced for a plan, even if its coordinator was lost since. */
   resultsOf(planId: string): readonly batching.IResultRecord[];
   /** Discards the record of a plan's results, because another plan has taken them over. */
   forget(planId: string): void;
 }
 
+/** Planner that plans the requests of this VM only. */
+export interface ILocalPlanner extends coordination.IPlanner {
+  /** Ends a plan without freeing its results; refuses it as `lost` if it has no outcome yet. */
+  abandon(planId: string): void;
+}
+
 /** Outage of the coordinator after which a VM plans locally; the search for a successor takes less. */
 const LOCAL_PLANNING_AFTER_MS = 2500;
 /** Interval at which a pending plan checks the connection to the coordinator. */
@@ -21,17 +31,30 @@
 
 /**
  * Plans with the coordinator, and falls back to a local planner when the coordinator has been unreachable for some
- * time. Further calls for a plan go to the planner that made it.
+ * time. Further calls for a plan go to the planner that made it. Local plans without an outcome are handed back once a
+ * coordinator is connected: their requests are planned again, with the results that exist.
  */
 export class FallbackPlanner implements coordination.IPlanner {
   private readonly plannerByPlan = new Map<string, coordination.IPlanner>();
 
+  /** Local plans without an outcome. */
+  private readonly pendingLocally = new Set<string>();
+
+  private readonly localResults: heldResults.HeldResults;
+
+  /** Whether a request was planned locally since the coordinator was lost. */
+  private plansAlone = false;
+
   /** `local` plans the requests of this VM only. */
   constructor(
     private readonly coordinator: ICoordinatorPlanner,
-    private readonly local: coordination.IPlanner,
+    private readonly local: ILocalPlanner,
     private readonly clock: commonTypes.IClock,
-  ) {}
+    private readonly logService: commonServices.ILogService,
+  ) {
+    this.localResults = new heldResults.HeldResults(clock);
+    coordinator.onCoordinatorFound(() => this.handBack());
+  }
 
   /** @inheritdoc */
   async plan(req: coordination.IPlanRequest): Promise<coordination.PlanOutcome> {
@@ -46,25 +69,53 @@
         return { kind: 'refused', reason: 'lost', retryAfter: CONNECTION_CHECK_MS };
       }
     }
-    const planner = this.coordinator.isConnected ? this.coordinator : this.local;
-    this.plannerByPlan.set(req.planId, planner);
+    const isLocal = !this.coordinator.isConnected;
+    this.plannerByPlan.set(req.planId, isLocal ? this.local : this.coordinator);
     const waited = this.clock.monotonic() - started;
     const goalLeft = Math.max(1, req.goalLeft - waited);
     const held = this.takeResults(req.replaces);
     const deadlineLeft = req.deadlineLeft - waited;
-    const outcome = await planner.plan({ ...req, goalLeft, deadlineLeft, held });
+    const updated = { ...req, goalLeft, deadlineLeft, held };
+    const outcome = await (isLocal ? this.planLocally(updated) : this.coordinator.plan(updated));
     if (outcome.kind === 'refused') {
       this.plannerByPlan.delete(req.planId);
     }
     return outcome;
   }
 
+  private async planLocally(req: coordination.IPlanRequest): Promise<coordination.PlanOutcome> {
+    const { planId } = req;
+    if (!this.plansAlone) {
+      this.plansAlone = true;
+      this.logService.warn('planning-alone', {
+        lostFor: Math.round(this.coordinator.disconnectedFor),
+      });
+    }
+    this.pendingLocally.add(planId);
+    this.localResults.track(planId, 0, req.held);
+    const outcome = await this.local.plan(req, (record) => this.localResults.add(planId, record));
+    this.pendingLocally.delete(planId);
+    if (outcome.kind !== 'refused' || outcome.reason !== 'lost') {
+      this.localResults.forget(planId);
+    }
+    return outcome;
+  }
+
+  private handBack(): void {
+    if (this.plansAlone) {
+      this.plansAlone = false;
+      this.logService.info('plans-handed-back', { plans: this.pendingLocally.size });
+    }
+    this.pendingLocally.forEach((planId) => this.local.abandon(planId));
+  }
+
   private takeResults(planId: string | undefined): readonly batching.IResultRecord[] {
     if (planId === undefined) {
       return [];
     }
-    const held = this.coordinator.resultsOf(planId);
+    const held = [...this.coordinator.resultsOf(planId), ...this.localResults.resultsOf(planId)];
     this.coordinator.forget(planId);
+    this.localResults.forget(planId);
     return held;
   }
 
@@ -80,6 +131,7 @@
 
   /** @inheritdoc */
   cancel(planId: string): void {
+    this.localResults.forget(planId);
     this.plannerByPlan.get(planId)?.cancel(planId);
     this.plannerByPlan.delete(planId);
   }
