anvildeckctl zone: drain, restore and list zones of a declaration

The control group of the declaration holds the same state machine (src/zones/ZoneState); zone_order is a command of operators, kept in the audit trail, and the watch stream tells entry VMs the set with its revision, also with the first update.

`npx vitest run` of src/zones, src/control/state, src/entry/routing, ZoneService, ConfigurationService, Zone and MetricsPage passed. src/ctl/commands was run twice before with its test that binds a port (Fetch.test.ts, passed). ConfigurationService.test.ts changed in the shape of its messages only.

--- a/src/common/MetricsPage.ts
+++ b/src/common/MetricsPage.ts
@@ -23,6 +23,7 @@
   pool_places: 'gauge {pool}: slots that the pool is estimated to have',
   endpoints_watched: 'gauge {pool}: endpoints that this entry VM monitors',
   endpoints_ejected: 'gauge {pool}: endpoints that are currently ejected',
+  zones_closed: 'gauge: availability zones out of service, as this entry VM knows them',
   endpoints_straggling: 'gauge {pool}: endpoints much slower than their peers',
 } as const;
 
--- a/src/control/services/CommandService.ts
+++ b/src/control/services/CommandService.ts
@@ -9,6 +9,8 @@
 import * as notAuthorized from './NotAuthorizedError.js';
 import type * as services from './Services.js';
 
+const MAX_ZONE_NAME_CHARS = 100;
+
 type CommandType = keyof Omit<stateTypes.Command, 'time' | 'actor' | 'body'>;
 /** The least privileged caller that may send a command; `internal` commands come from the control group only. */
 type Permission = 'entry' | 'operator' | 'internal';
@@ -23,6 +25,7 @@
   tick: 'internal',
   crashReport: 'entry',
   quarantineLift: 'operator',
+  zoneOrder: 'operator',
   accountingReport: 'entry',
   orderCreate: 'operator',
   orderClaim: 'internal',
@@ -54,6 +57,9 @@
         );
       })
       .exhaustive();
+    if (command.zoneOrder !== null) {
+      checkZone(command.zoneOrder.zone);
+    }
     if (command.apply !== null) {
       checkDeclaration(command.apply.text, command.apply.baseVersion);
     }
@@ -74,6 +80,13 @@
   return commandTypes.find((name) => command[name] !== null);
 }
 
+/** Throws RangeError for a name that no zone can have. */
+function checkZone(zone: string): void {
+  if (zone === '' || zone.length > MAX_ZONE_NAME_CHARS) {
+    throw new RangeError(`a zone's name has 1 to ${MAX_ZONE_NAME_CHARS} characters`);
+  }
+}
+
 /** Throws for a declaration that no entry could apply; RangeError for one that is too long or a bad version. */
 function checkDeclaration(text: string, baseVersion: number): void {
   if (text.length > limits.LIMITS.declarationChars) {
--- a/src/control/services/QueryService.ts
+++ b/src/control/services/QueryService.ts
@@ -1,7 +1,7 @@
 import type * as control from '#wire/control.js';
 import * as pattern from 'ts-pattern';
 import * as messages from '../../common/wire/Messages.js';
-import type * as controlState from '../state/ControlState.js';
+import * as controlState from '../state/ControlState.js';
 import type * as stateTypes from '../state/Types.js';
 import type * as controlTypes from '../Types.js';
 import type * as services from './Services.js';
@@ -48,6 +48,9 @@
       .with({ ledgerShow: present }, ({ ledgerShow }) => this.ledgerShow(ledgerShow.id))
       .with({ entries: present }, () => ({ entries: { entries: this.entries() } }))
       .with({ quarantine: present }, () => ({ quarantine: state.quarantine.snapshot() }))
+      .with({ zones: present }, () => ({
+        zones: controlState.asClosedZones(state.zones.current),
+      }))
       .with({ accounting: present }, ({ accounting }) => ({
         accounting: state.accounting.query(accounting.from, accounting.to),
       }))
--- a/src/control/state/ControlState.test.ts
+++ b/src/control/state/ControlState.test.ts
@@ -189,3 +189,20 @@
     expect(latencyBuckets.quantile([], 0.5)).toBeUndefined();
   });
 });
+
+describe('zones out of service', () => {
+  it('follow the last order, repeated or not, survive a snapshot, and are in the audit trail', () => {
+    const harness = new StateHarness();
+    const order = (zone: string, closed: boolean): unknown =>
+      harness.run({ actor: 'ann', zoneOrder: { zone, closed, reason: 'power' } }).done;
+    [true, true, false, false, true].forEach((closed) => expect(order('a', closed)).not.toBeNull());
+    order('b', true);
+    harness.restart();
+    expect(harness.state.zones.current).toEqual({ revision: 4, zones: ['a', 'b'] });
+    order('a', true);
+    expect(harness.state.zones.current.revision).toBe(4);
+    expect(
+      harness.state.audit.list(10).map(({ action, subject }) => `${action} ${subject}`),
+    ).toEqual(['zone drain b', 'zone drain a', 'zone restore a', 'zone drain a']);
+  });
+});
--- a/src/control/state/ControlState.ts
+++ b/src/control/state/ControlState.ts
@@ -1,6 +1,8 @@
 import * as control from '#wire/control.js';
 import * as pattern from 'ts-pattern';
 import * as messages from '../../common/wire/Messages.js';
+import type * as zoneTypes from '../../zones/Types.js';
+import * as zoneState from '../../zones/ZoneState.js';
 import type * as controlTypes from '../Types.js';
 import * as accountingState from './AccountingState.js';
 import * as auditTrail from './AuditTrail.js';
@@ -31,6 +33,8 @@
 
   readonly orders = new orderState.OrderState();
 
+  readonly zones = new zoneState.ZoneState();
+
   readonly audit = new auditTrail.AuditTrail();
 
   private time = 0;
@@ -61,6 +65,7 @@
       accounting: this.accounting.snapshot(),
       orders: this.orders.snapshot(),
       audit: this.audit.snapshot(),
+      ...(this.zones.current.revision === 0 ? {} : { zones: asClosedZones(this.zones.current) }),
     });
   }
 
@@ -76,6 +81,9 @@
     this.accounting.restore(state.accounting);
     this.orders.restore(state.orders);
     this.audit.restore(state.audit);
+    if (state.zones !== null) {
+      this.zones.restore({ revision: state.zones.revision, zones: state.zones.zones });
+    }
     this.configuration.restore(state.configuration);
   }
 
@@ -103,6 +111,7 @@
       .with({ quarantineLift: present }, ({ quarantineLift }) =>
         this.lift(quarantineLift, command.actor),
       )
+      .with({ zoneOrder: present }, ({ zoneOrder }) => this.orderZone(zoneOrder, command.actor))
       .with({ accountingReport: present }, ({ accountingReport }) => {
         this.accounting.report(accountingReport, command.actor, time);
         return DONE;
@@ -170,6 +179,18 @@
     return DONE;
   }
 
+  private orderZone(
+    { zone, closed, reason }: NonNullable<types.Command['zoneOrder']>,
+    operator: string,
+  ): types.Result {
+    const { revision } = this.zones.current;
+    this.zones.apply({ zone, isClosed: closed });
+    if (this.zones.current.revision !== revision) {
+      this.addAuditEntry(operator, closed ? 'zone drain' : 'zone restore', zone, reason);
+    }
+    return DONE;
+  }
+
   private tick(req: NonNullable<types.Command['tick']>): types.Result {
     this.entries.tick(req.beats, req.grace, this.time).forEach((lease) => {
       this.ledger.expireOwner(lease.incarnation, this.time);
@@ -189,6 +210,19 @@
   }
 }
 
+/**
+ * Encodes the zones out of service.
+ *
+ * @example
+ * asClosedZones({ revision: 1, zones: ['north-a'] });
+ */
+export function asClosedZones({
+  revision,
+  zones,
+}: zoneTypes.IClosedZones): control.wire.ClosedZones.$Properties {
+  return { revision, zones: [...zones] };
+}
+
 function doneOrRefusal(refusal: control.wire.Refusal.$Properties | undefined): types.Result {
   return refusal === undefined ? DONE : { refusal };
 }
--- a/src/ctl/Program.ts
+++ b/src/ctl/Program.ts
@@ -18,6 +18,7 @@
 import * as show from './commands/Show.js';
 import * as status from './commands/Status.js';
 import * as validate from './commands/Validate.js';
+import * as zone from './commands/Zone.js';
 import * as connection from './Connection.js';
 import type * as types from './Types.js';
 
@@ -36,6 +37,7 @@
   ledger.addLedger,
   quarantine.addQuarantine,
   order.addOrder,
+  zone.addZone,
   audit.addAudit,
   members.addMembers,
   data.addData,
@@ -53,7 +55,7 @@
  */
 export function makeProgram(clock: commonTypes.IClock): commander.Command {
   const program = new commander.Command('anvildeckctl')
-    .description('What operators do: declarations, ledger, orders, quarantine, keys.')
+    .description('What operators do: declarations, ledger, orders, zones, quarantine, keys.')
     .version(VERSION)
     .showHelpAfterError()
     .exitOverride(({ exitCode }) =>
--- a/src/entry/EntryProcess.ts
+++ b/src/entry/EntryProcess.ts
@@ -130,6 +130,7 @@
     requestPath.updateConfiguration(configuration.current);
   }
   store.add(configuration.onChange((next) => requestPath.updateConfiguration(next)));
+  store.add(control.zones.onChange(({ zones }) => requestPath.picker.closeZones(zones)));
   return requestPath.stageRunner;
 }
 
--- a/src/entry/routing/EndpointPicker.test.ts
+++ b/src/entry/routing/EndpointPicker.test.ts
@@ -143,6 +143,27 @@
     vitest.expect(bench.pick()).toBeUndefined();
   });
 
+  vitest.it(
+    'sends no calls to a closed zone, not even if all others fail, until it returns',
+    () => {
+      const bench = new PickerBench(fixtures.makePool(4));
+      bench.picker.updateConfiguration(fixtures.makeConfiguration([bench.pool]));
+      const running = bench.pick();
+      bench.picker.closeZones(['b']);
+      const failed = { ok: false, failure: 'endpoint-error', latency: 1 } as const;
+      const names = Array.from({ length: 100 }, () => bench.pickAndSettle(failed));
+      vitest.expect(new Set(names)).toEqual(new Set(['llm-1', 'llm-3']));
+      running?.settle({ ok: true, latency: 1 });
+      const watched = bench.picker.watchedEndpoints().map(({ name }) => name);
+      vitest.expect(new Set(watched)).toEqual(new Set(['llm-1', 'llm-3']));
+      bench.picker.closeZones(['a', 'b']);
+      vitest.expect(bench.pick()).toBeUndefined();
+      bench.picker.closeZones([]);
+      const back = bench.pick({ tried: ['llm-1', 'llm-3'] })?.endpoint.zone;
+      vitest.expect(back).toBe('b');
+    },
+  );
+
   vitest.it('prefers the holder of a prefix until its load outweighs the bonus', () => {
     const bench = new PickerBench(fixtures.makePool(8));
     const holder = bench.pickAndSettle({ ok: true, latency: 1 }, { prefix: 'p' });
--- a/src/entry/routing/EndpointPicker.ts
+++ b/src/entry/routing/EndpointPicker.ts
@@ -31,6 +31,8 @@
 
 interface IWatchedPool {
   readonly endpoints: readonly configTypes.IEndpoint[];
+  /** Zones whose endpoints were left out. */
+  readonly closedZones: readonly string[];
   readonly router: poolRouter.PoolRouter;
 }
 
@@ -42,6 +44,11 @@
   /** Index of the prompt prefixes that each endpoint has cached. */
   readonly prefixes: prefixIndex.PrefixIndex;
 
+  private closedZones: readonly string[] = [];
+
+  /** Pools of the configuration in force. */
+  private configured: readonly configTypes.IPool[] = [];
+
   private readonly pools = new Map<string, IWatchedPool>();
 
   /** `self` seeds the subset of endpoints and its zone is preferred; `options` also bounds the prefix index. */
@@ -56,6 +63,7 @@
   /** Applies the pools of a new configuration; endpoints that stay keep their state. */
   updateConfiguration(cfg: configTypes.IConfiguration): void {
     const { pools } = cfg.declaration;
+    this.configured = pools;
     const names = new Set(pools.map((pool) => pool.name));
     [...this.pools.keys()]
       .filter((name) => !names.has(name))
@@ -66,6 +74,16 @@
     );
   }
 
+  /**
+   * Leaves out the endpoints of these zones from now on, and no others. Calls in flight go on; an endpoint that returns
+   * starts without what was known of it.
+   */
+  closeZones(zones: readonly string[]): void {
+    this.closedZones = zones;
+    this.services.metrics.gauge('zones_closed', zones.length);
+    this.configured.forEach((pool) => this.watchPool(pool));
+  }
+
   /** @inheritdoc */
   pick(
     pool: configTypes.IPool,
@@ -121,11 +139,13 @@
 
   private watchPool(pool: configTypes.IPool): IWatchedPool {
     const known = this.pools.get(pool.name);
-    if (known?.endpoints === pool.endpoints) {
+    const { closedZones } = this;
+    if (known?.endpoints === pool.endpoints && known.closedZones === closedZones) {
       return known;
     }
     const { routing, crash } = this.options;
-    const chosen = subset.chooseSubset(this.self.id, pool.endpoints, routing.subsetSize);
+    const open = pool.endpoints.filter(({ zone }) => !closedZones.includes(zone));
+    const chosen = subset.chooseSubset(this.self.id, open, routing.subsetSize);
     const states = chosen.map((endpoint) => this.reuseOrCreateState(known, endpoint));
     const router = new poolRouter.PoolRouter(
       states,
@@ -135,7 +155,7 @@
       this.services.random,
       this.services.membership,
     );
-    const watched = { endpoints: pool.endpoints, router };
+    const watched = { endpoints: pool.endpoints, closedZones, router };
     this.pools.set(pool.name, watched);
     return watched;
   }
--- a/src/entry/services/ConfigurationService.test.ts
+++ b/src/entry/services/ConfigurationService.test.ts
@@ -40,12 +40,24 @@
       submissionId: '',
       baseVersion: 0,
     };
-    this.updates.fire({ configuration, delta: null, quarantine: null, currentVersion: version });
+    this.updates.fire({
+      configuration,
+      delta: null,
+      quarantine: null,
+      zones: null,
+      currentVersion: version,
+    });
   }
 
   delta(baseVersion: number, version: number, before: string, after: string): void {
     const delta = { ...textDelta.makeDelta(before, after), baseVersion, version };
-    this.updates.fire({ configuration: null, delta, quarantine: null, currentVersion: version });
+    this.updates.fire({
+      configuration: null,
+      delta,
+      quarantine: null,
+      zones: null,
+      currentVersion: version,
+    });
   }
 }
 
--- a/src/entry/services/ControlServices.ts
+++ b/src/entry/services/ControlServices.ts
@@ -10,6 +10,7 @@
 import * as ledgerService from './LedgerService.js';
 import * as outbox from './Outbox.js';
 import * as quarantineService from './QuarantineService.js';
+import * as zoneService from './ZoneService.js';
 
 const OUTBOX_DRAIN_TIMEOUT_MS = 5000;
 
@@ -48,6 +49,8 @@
 
   readonly quarantine: quarantineService.QuarantineService;
 
+  readonly zones: zoneService.ZoneService;
+
   readonly accounting: accountingService.AccountingService;
 
   /** Connects to the control group and starts to follow its configuration. */
@@ -76,6 +79,7 @@
     this.quarantine = disposables.add(
       new quarantineService.QuarantineService(client, unsent, this.feed),
     );
+    this.zones = disposables.add(new zoneService.ZoneService(this.feed, logService));
     this.accounting = disposables.add(
       new accountingService.AccountingService(client, lease, identity, clock, logService),
     );
