--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -15,9 +15,8 @@
 import * as sharedRateLimiter from '../ratelimit/SharedRateLimiter.js';
 import * as roomKeeper from '../room/RoomKeeper.js';
 import type * as routing from '../routing/Types.js';
-import type * as zoneTypes from '../zones/Types.js';
+import * as zoneFollower from '../zones/ZoneFollower.js';
 import * as zoneService from '../zones/ZoneService.js';
-import type * as zoneState from '../zones/ZoneState.js';
 import * as documentService from './document/DocumentService.js';
 import type * as documentState from './document/DocumentState.js';
 import * as sharedState from './document/SharedState.js';
@@ -181,7 +180,9 @@
       }),
     );
     followDocument(state, coordinator, dependencies);
-    followZones(shared.zones, directory, dependencies);
+    const zoneGate = new zoneFollower.ZoneFollower(directory, logService, metrics);
+    shared.zones.onChange((closed) => zoneGate.follow(closed));
+    zoneGate.follow(shared.zones.current);
     const feed = disposables.add(
       new feedServer.FeedServer(server, {
         log,
@@ -307,23 +308,6 @@
   }
 }
 
-function followZones(
-  state: zoneState.ZoneState,
-  directory: endpointDirectory.EndpointDirectory,
-  { logService, metrics }: IDocumentProcessDependencies,
-): void {
-  const applyZones = (closed: zoneTypes.IClosedZones): void => {
-    directory.closeZones(closed);
-    const { revision, zones } = closed;
-    metrics.gauge('zones_closed', zones.length);
-    logService.info('zones-out-of-service', { revision, zones: zones.join(',') });
-  };
-  state.onChange(applyZones);
-  if (state.current.revision > 0) {
-    applyZones(state.current);
-  }
-}
-
 function bind(server: grpc.Server, address: string): Promise<void> {
   return new Promise((resolve, reject) => {
     server.bindAsync(address, grpc.ServerCredentials.createInsecure(), (err) => {
