Send work by measured speed times the slowdown that endpoints report

Cause: endpoints of a service were taken for alike until they failed or took three times the median. Where they differ by more than two to one, and slow down for some hundred milliseconds at a time, deadlines were missed at the slow ones.

Change: ReportedSlowdown holds what an endpoint reports, discounted by age. EnginePlacer multiplies the cost of the work by the engine's gap between events relative to the median (measured by the entry VM, sent with 'ended') and by the present slowdown (sent with 'started'). ServiceBalancer learns latencies without the slowdown, and draws among endpoints that report by the inverse cost, so that VMs that know the same do not all move to the same endpoint. Endpoints that report no slowdown are chosen as before, by the same draws of random numbers.

HomeEngine.ts is split off EnginePlacer.ts unchanged.

--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -269,23 +269,26 @@
   }
 
   /** @inheritdoc */
-  markStarted(planId: string, isSuccess: boolean): void {
+  markStarted(planId: string, isSuccess: boolean, slowdown?: number): void {
     if (isSuccess) {
       this.quarantine.recordStarted(planId);
     }
     const plan = this.plans.get(planId);
     if (plan !== undefined) {
-      this.placers.get(plan.req.service)?.markStarted(planId);
+      this.placers.get(plan.req.service)?.markStarted(planId, slowdown);
       plan.results = undefined;
       plan.job.cancel();
     }
   }
 
   /** @inheritdoc */
-  markEnded(planId: string, failed?: string): void {
+  markEnded(planId: string, failed?: string, eventGap?: commonTypes.Millis): void {
     if (failed !== undefined) {
       this.recordFailure(planId, failed);
     }
+    if (eventGap !== undefined) {
+      this.placers.forEach((placer) => placer.recordEventGap(planId, eventGap));
+    }
     this.quarantine.recordEnded(planId, failed === undefined ? 'whole' : 'broken', failed);
     this.removePlan(planId);
   }
@@ -504,7 +507,9 @@
       endpoints: this.deps.directory.current.revision,
     };
     if (outcome.kind === 'ready') {
-      this.deps.logService.info('plan-ready', { ...fields, endpoint: outcome.endpoint.id });
+      const { id: endpoint } = outcome.endpoint;
+      const relativeTime = this.placers.get(req.service)?.relativeTimeOf(endpoint)?.toFixed(2);
+      this.deps.logService.info('plan-ready', { ...fields, endpoint, relativeTime });
     } else {
       const { reason, retryAfter } = outcome;
       this.deps.logService.info('plan-refused', { ...fields, reason, retryAfter });
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -326,14 +326,17 @@
   }
 
   /** @inheritdoc */
-  markStarted(planId: string, isSuccess: boolean): void {
+  markStarted(planId: string, isSuccess: boolean, slowdown?: number): void {
     const error = isSuccess ? {} : { isError: true };
-    this.finishPlan(planId, { kind: 'started', planId, ...error });
+    const reported = slowdown === undefined ? {} : { slowdown };
+    this.finishPlan(planId, { kind: 'started', planId, ...error, ...reported });
   }
 
   /** @inheritdoc */
-  markEnded(planId: string, failed?: string): void {
-    this.finishPlan(planId, { kind: 'ended', planId, ...(failed === undefined ? {} : { failed }) });
+  markEnded(planId: string, failed?: string, eventGap?: commonTypes.Millis): void {
+    const failure = failed === undefined ? {} : { failed };
+    const measured = eventGap === undefined ? {} : { eventGap };
+    this.finishPlan(planId, { kind: 'ended', planId, ...failure, ...measured });
   }
 
   /** @inheritdoc */
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -329,11 +329,11 @@
         planner.cancel(message.planId);
         break;
       case 'started':
-        planner.markStarted(message.planId, message.isError !== true);
+        planner.markStarted(message.planId, message.isError !== true, message.slowdown);
         break;
       case 'ended':
         session.plans.delete(message.planId);
-        planner.markEnded(message.planId, message.failed);
+        planner.markEnded(message.planId, message.failed, message.eventGap);
         break;
       case 'limits':
         this.rateLimitExchange.handleLimits(session.vm, message.observations, send);
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -98,11 +98,14 @@
   cancel(planId: string): void;
   /**
    * Records that the engine has begun its answer, after which the plan's results are no longer needed. `isSuccess` if it
-   * is no error response, which an engine may send without running the request.
+   * is no error response, which an engine may send without running the request. `slowdown` is what the engine reports.
    */
-  markStarted(planId: string, isSuccess: boolean): void;
-  /** Records that the request has left its engine; `failed` is the id of the engine if it failed the request. */
-  markEnded(planId: string, failed?: string): void;
+  markStarted(planId: string, isSuccess: boolean, slowdown?: number): void;
+  /**
+   * Records that the request has left its engine; `failed` is the id of the engine if it failed the request, `eventGap`
+   * the mean time between its events, of an engine that reports slowdowns.
+   */
+  markEnded(planId: string, failed?: string, eventGap?: commonTypes.Millis): void;
 }
 
 /** A stage result with the id of its plan. */
@@ -156,8 +159,20 @@
     }
   | { readonly kind: 'cancel'; readonly planId: string }
   /** The engine has begun its answer; `isError` if that is an error response, absent means false. */
-  | { readonly kind: 'started'; readonly planId: string; readonly isError?: boolean }
-  | { readonly kind: 'ended'; readonly planId: string; readonly failed?: string }
+  | {
+      readonly kind: 'started';
+      readonly planId: string;
+      readonly isError?: boolean;
+      /** Slowdown that the engine reports; absent if it reports none. */
+      readonly slowdown?: number;
+    }
+  | {
+      readonly kind: 'ended';
+      readonly planId: string;
+      readonly failed?: string;
+      /** Mean time between its events; absent if the engine reports no slowdowns, or there were few. */
+      readonly eventGap?: commonTypes.Millis;
+    }
   /** Results that an earlier coordinator produced and that are to be freed. */
   | { readonly kind: 'spare'; readonly records: readonly batching.IResultRecord[] }
   /** Endpoint list of the entry VM, for a coordinator that has not read one yet. */
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -8,6 +8,7 @@
 import type * as endpointRooms from '../room/EndpointRooms.js';
 import type * as routing from '../routing/Types.js';
 import * as answerBody from './AnswerBody.js';
+import * as eventPace from './EventPace.js';
 import * as eventRelay from './EventRelay.js';
 import type * as requestScope from './RequestScope.js';
 import * as types from './Types.js';
@@ -354,17 +355,20 @@
       scope.responseStarted = true;
       this.begun = answer;
     }
-    const end = await this.relay.relay(answer, () => {
-      deps.planner.markStarted(this.planId, isStream);
+    const pace = new eventPace.EventPace(deps.clock);
+    const slowdown = answer.load?.slowdown;
+    const onFirstData = (): void => {
+      deps.planner.markStarted(this.planId, isStream, slowdown);
       this.inputsReleased = true;
       this.log('first-event', {});
-    });
+    };
+    const end = await this.relay.relay(answer, onFirstData, pace);
     if (end.kind === 'cut') {
       return end;
     }
     if (end.kind === 'whole') {
       scope.responder.end();
-      this.finishAnswered(answer);
+      this.finishAnswered(answer, slowdown === undefined ? undefined : pace.meanGap);
     }
     return { kind: 'done' };
   }
@@ -393,9 +397,9 @@
     return { kind: 'done' };
   }
 
-  private finishAnswered(answer: types.IEndpointAnswer): void {
+  private finishAnswered(answer: types.IEndpointAnswer, eventGap?: commonTypes.Millis): void {
     this.log('answered', { status: answer.status });
-    this.deps.planner.markEnded(this.planId);
+    this.deps.planner.markEnded(this.planId, undefined, eventGap);
     this.scope.finish();
   }
 
--- a/src/gateway/EventRelay.ts
+++ b/src/gateway/EventRelay.ts
@@ -1,4 +1,5 @@
 import * as eventFramer from '../entry/stage/EventFramer.js';
+import type * as eventPace from './EventPace.js';
 import type * as requestScope from './RequestScope.js';
 import type * as types from './Types.js';
 
@@ -41,9 +42,13 @@
 
   /**
    * Forwards the body of `answer` until it ends or the request does. Calls `onFirstData` once, when the first bytes of
-   * the body arrive. Pauses while the caller's write buffer is full.
+   * the body arrive. Pauses while the caller's write buffer is full. `pace` measures the time between events.
    */
-  async relay(answer: types.IEndpointAnswer, onFirstData: () => void): Promise<RelayEnd> {
+  async relay(
+    answer: types.IEndpointAnswer,
+    onFirstData: () => void,
+    pace: eventPace.EventPace,
+  ): Promise<RelayEnd> {
     const { scope } = this;
     const framer = new eventFramer.EventFramer();
     let isFirst = true;
@@ -64,8 +69,10 @@
             return this.endBroken(fault);
           }
           this.hasForwardedEvents = true;
+          pace.record(events);
           this.lastForwardedId = framer.lastId ?? this.lastForwardedId;
           if (!scope.responder.write(events)) {
+            pace.pause();
             await this.awaitDrain();
           }
         }
--- a/src/gateway/FallbackPlanner.ts
+++ b/src/gateway/FallbackPlanner.ts
@@ -85,13 +85,13 @@
   }
 
   /** @inheritdoc */
-  markStarted(planId: string, isSuccess: boolean): void {
-    this.plannerByPlan.get(planId)?.markStarted(planId, isSuccess);
+  markStarted(planId: string, isSuccess: boolean, slowdown?: number): void {
+    this.plannerByPlan.get(planId)?.markStarted(planId, isSuccess, slowdown);
   }
 
   /** @inheritdoc */
-  markEnded(planId: string, failed?: string): void {
-    this.plannerByPlan.get(planId)?.markEnded(planId, failed);
+  markEnded(planId: string, failed?: string, eventGap?: commonTypes.Millis): void {
+    this.plannerByPlan.get(planId)?.markEnded(planId, failed, eventGap);
     this.plannerByPlan.delete(planId);
   }
 }
--- a/src/gateway/ServiceBalancer.ts
+++ b/src/gateway/ServiceBalancer.ts
@@ -1,4 +1,6 @@
 import type * as commonTypes from '../common/Types.js';
+import * as relativeTimes from '../placing/RelativeTime.js';
+import * as reportedSlowdown from '../placing/ReportedSlowdown.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
@@ -6,6 +8,10 @@
 
 /** Weight of a new sample in the moving average of an endpoint's latency. */
 const LATENCY_SAMPLE_WEIGHT = 0.2;
+/** The same for an endpoint that reports slowdowns, whose latency without them changes little. */
+const STEADY_SAMPLE_WEIGHT = 0.05;
+/** Endpoints that report slowdowns are drawn with weights of this power of their cost. */
+const DRAW_EXPONENT = 8;
 /** Assumed latency of an endpoint that has not responded yet. */
 const INITIAL_LATENCY_MS = 60;
 /** Time over which the weight of a load report falls linearly from 1 to 0. */
@@ -29,8 +35,9 @@
 interface IEndpointStats {
   /** Calls of this VM in progress. */
   running: number;
-  /** Moving average; INITIAL_LATENCY_MS before the first response. */
+  /** Moving average without the slowdowns that the endpoint reports; INITIAL_LATENCY_MS before the first response. */
   latency: commonTypes.Millis;
+  readonly slowdown: reportedSlowdown.ReportedSlowdown;
   /** Whether the endpoint has responded to this VM. */
   hasResponded: boolean;
   /** Moving average of failed calls, 0 to 1. */
@@ -61,7 +68,7 @@
 
 /**
  * Chooses an endpoint of a plain service by its average latency, the calls of this VM in progress there and its last
- * load report. Ejects endpoints that crash, reject requests or fail a part of them, and avoids slow ones.
+ * load report. An endpoint that reports slowdowns is expected to take its average latency times the present one. Ejects endpoints that crash, reject requests or fail a part of them, and avoids slow ones.
  */
 export class ServiceBalancer {
   private readonly statsById = new Map<string, IEndpointStats>();
@@ -97,11 +104,13 @@
     const median = latencies[Math.floor((latencies.length - 1) / 2)] ?? INITIAL_LATENCY_MS;
     const ranked = candidates
       .map(({ endpoint, stats }) => {
-        const latency = this.expectedLatency(endpoint, stats);
+        const average = this.expectedLatency(endpoint, stats);
+        const latency = ServiceBalancer.presentLatency(average, stats.slowdown, median, now);
         return { endpoint, cost: this.cost(endpoint, { ...stats, latency }, median, now) };
       })
       .sort((a, b) => a.cost - b.cost);
-    return ranked[0]?.endpoint;
+    const reports = candidates.some(({ stats }) => stats.slowdown.isKnown);
+    return reports ? this.draw(ranked) : ranked[0]?.endpoint;
   }
 
   /** Time until the rate limits of a service's endpoints allow another request; 0 if they do now. */
@@ -112,9 +121,11 @@
 
   /** Returns the median of the average latencies of a service's endpoints. */
   medianLatency(service: string): commonTypes.Millis {
+    const now = this.clock.monotonic();
     const latencies = this.directory
       .ready(service)
-      .map((endpoint) => this.statsOf(endpoint.id).latency)
+      .map(({ id }) => this.statsOf(id))
+      .map(({ latency, slowdown }) => latency * slowdown.at(now))
       .sort((a, b) => a - b);
     return latencies[Math.floor((latencies.length - 1) / 2)] ?? INITIAL_LATENCY_MS;
   }
@@ -139,21 +150,23 @@
     if (load !== undefined) {
       stats.load = load;
       stats.loadAt = now;
+      if (load.slowdown !== undefined) {
+        stats.slowdown.record(load.slowdown, now);
+      }
     }
+    const weight = stats.slowdown.isKnown ? STEADY_SAMPLE_WEIGHT : LATENCY_SAMPLE_WEIGHT;
+    const usualTook = took / (load?.slowdown ?? stats.slowdown.at(now));
     if (outcome === 'limited') {
       return;
     }
     if (outcome === 'cancelled') {
       // The call would have taken at least this long, so that the sample may only raise the average.
-      stats.latency = Math.max(
-        stats.latency,
-        stats.latency + LATENCY_SAMPLE_WEIGHT * (took - stats.latency),
-      );
+      stats.latency = Math.max(stats.latency, stats.latency + weight * (usualTook - stats.latency));
       return;
     }
     if (outcome === 'ok' || outcome === 'error') {
       stats.hasResponded = true;
-      stats.latency += LATENCY_SAMPLE_WEIGHT * (took - stats.latency);
+      stats.latency += weight * (usualTook - stats.latency);
     }
     stats.failureRate += FAILURE_SAMPLE_WEIGHT * ((outcome === 'ok' ? 0 : 1) - stats.failureRate);
     const isUnhealthy =
@@ -204,6 +217,34 @@
     return stats.latency * (1 + 2 * load) * (0.9 + this.random.next() * 0.2) + zoneCost + slowCost;
   }
 
+  /**
+   * Latency that is expected now by an average one. At an endpoint that reports slowdowns, averages near the median count
+   * as the median: they differ by chance.
+   */
+  private static presentLatency(
+    average: commonTypes.Millis,
+    slowdown: reportedSlowdown.ReportedSlowdown,
+    median: commonTypes.Millis,
+    now: commonTypes.Millis,
+  ): commonTypes.Millis {
+    return slowdown.isKnown
+      ? median * relativeTimes.relativeTime(average / median) * slowdown.at(now)
+      : average;
+  }
+
+  /** Draws an endpoint, a costlier one less often: the cheapest of all would get the requests of all VMs at once. */
+  private draw(
+    ranked: readonly { readonly endpoint: routing.IEndpoint; readonly cost: number }[],
+  ): routing.IEndpoint | undefined {
+    const weights = ranked.map(({ cost }) => cost ** -DRAW_EXPONENT);
+    let rest = this.random.next() * weights.reduce((sum, weight) => sum + weight, 0);
+    const at = weights.findIndex((weight) => {
+      rest -= weight;
+      return rest < 0;
+    });
+    return (ranked[at] ?? ranked[0])?.endpoint;
+  }
+
   private statsOf(id: string): IEndpointStats {
     const present = this.statsById.get(id);
     if (present !== undefined) {
@@ -212,6 +253,7 @@
     const initial: IEndpointStats = {
       running: 0,
       latency: INITIAL_LATENCY_MS,
+      slowdown: new reportedSlowdown.ReportedSlowdown(),
       hasResponded: false,
       failureRate: 0,
       consecutiveEjections: 0,
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -2,7 +2,9 @@
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as room from '../room/Types.js';
 import type * as routing from '../routing/Types.js';
+import * as engineSpeeds from './EngineSpeeds.js';
 import * as engineState from './EngineState.js';
+import * as homeEngine from './HomeEngine.js';
 import * as promptCacheEstimate from './PromptCacheEstimate.js';
 import type * as types from './Types.js';
 
@@ -59,7 +61,7 @@
  * Chooses a model engine for each request of one service by the lowest cost in prompt tokens. The cost
  * favours engines that have the shared prompt parts cached, short queues, and inputs in the same
  * availability zone; engines that have failed are ejected for a while, and engines that name a rate limit get no more
- * requests than it allows. Covers moderate load and the crash of some engines.
+ * requests than it allows. On engines that say how fast they work, work costs as much as it takes longer there. Covers moderate load and the crash of some engines.
  *
  * @example
  * const endpoint = placer.place(req);
@@ -152,10 +154,16 @@
     return isUnlimited ? undefined : rates.reduce<number>((sum, rate) => sum + (rate ?? 0), 0);
   }
 
-  /** Records that the engine has read the request's prompt; repeated calls have no effect. */
-  markStarted(planId: string): void {
+  /**
+   * Records that the engine has read the request's prompt, and the slowdown that it reports, if any; repeated calls have
+   * no effect.
+   */
+  markStarted(planId: string, slowdown?: number): void {
     const placed = this.placedRequests.get(planId);
     if (placed !== undefined) {
+      if (slowdown !== undefined && !placed.hasStarted) {
+        placed.engine.slowdown.record(slowdown, this.clock.monotonic());
+      }
       if (!placed.hasStarted) {
         placed.hasStarted = true;
         placed.engine.markStarted(placed.unreadTokens, this.clock.monotonic());
@@ -163,6 +171,23 @@
     }
   }
 
+  /** Records the mean time between the events that an engine sent for a request; before the request is removed. */
+  recordEventGap(planId: string, gap: commonTypes.Millis): void {
+    this.placedRequests.get(planId)?.engine.recordGap(gap);
+  }
+
+  /**
+   * Time that work takes on an engine now, relative to an engine of median pace; undefined if it does not say how fast it
+   * works.
+   */
+  relativeTimeOf(endpointId: string): number | undefined {
+    const engine = this.engines.get(endpointId);
+    const pace = engineSpeeds.medianPace([...this.engines.values()]);
+    return engine?.slowdown.isKnown === true
+      ? engineSpeeds.expectedTime(engine, pace, this.clock.monotonic())
+      : undefined;
+  }
+
   /** Removes a request from its engine; unknown plan ids are ignored. */
   removeRequest(planId: string): void {
     const placed = this.placedRequests.get(planId);
@@ -188,7 +213,7 @@
    * Availability zone of the engine that has most of a prompt cached, or else of the home engine of its shared part.
    */
   preferredZone(prompt: types.IPrompt): string | undefined {
-    const home = this.homeEngineOf([...this.engines.values()], prompt);
+    const home = homeEngine.homeEngineOf([...this.engines.values()], prompt);
     let mostCached = 0;
     let zone = this.engines.get(home)?.endpoint.availabilityZone;
     this.engines.forEach(({ endpoint, promptCache }) => {
@@ -238,8 +263,10 @@
     req: IPlacementRequest,
   ): engineState.EngineState | undefined {
     const fullThreshold = this.limits.slots * FULL_SLOTS_RATIO;
-    const home = this.homeEngineOf(engines, req.prompt);
+    const home = homeEngine.homeEngineOf(engines, req.prompt);
     const sharedTokens = req.prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+    const pace = engineSpeeds.medianPace([...this.engines.values()]);
+    const now = this.clock.monotonic();
     let best: engineState.EngineState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     engines.forEach((engine) => {
@@ -247,7 +274,8 @@
         Math.max(0, engine.placedRequestCount - fullThreshold) * this.limits.cacheTokens;
       const awayFromHomeCost =
         engine.endpoint.id === home ? 0 : sharedTokens * AWAY_FROM_HOME_COST_RATIO;
-      const cost = this.costOf(engine, req) + overloadCost + awayFromHomeCost;
+      const relativeTime = engineSpeeds.expectedTime(engine, pace, now);
+      const cost = this.costOf(engine, req, relativeTime) + overloadCost + awayFromHomeCost;
       if (cost < bestCost) {
         best = engine;
         bestCost = cost;
@@ -256,46 +284,20 @@
     return best;
   }
 
-  /**
-   * Id of the home engine of a prompt's last shared part, or an empty string without one. Rendezvous hashing
-   * (highest random weight) gives the same engine in every process with the same engines.
-   */
-  private homeEngineOf(engines: readonly engineState.EngineState[], prompt: types.IPrompt): string {
-    const sharedPartId = prompt.parts.at(-2)?.id;
-    if (sharedPartId === undefined) {
-      return '';
-    }
-    let best = '';
-    let bestWeight = -1;
-    engines.forEach(({ endpoint }) => {
-      const weight = hashWeight(`${sharedPartId}/${endpoint.id}`);
-      if (weight > bestWeight) {
-        best = endpoint.id;
-        bestWeight = weight;
-      }
-    });
-    return best;
-  }
-
-  private costOf(engine: engineState.EngineState, req: IPlacementRequest): number {
+  /** `relativeTime` is the time that work takes on the engine, relative to others. */
+  private costOf(
+    engine: engineState.EngineState,
+    req: IPlacementRequest,
+    relativeTime: number,
+  ): number {
     const unreadTokens = req.prompt.tokensIn - engine.promptCache.cachedTokens(req.prompt);
     const crossZoneBytes = req.inputs
       .filter((input) => input.zone !== engine.endpoint.availabilityZone)
       .reduce((sum, input) => sum + input.bytes, 0);
-    return (
+    const work =
       unreadTokens +
       engine.waitingTokens * WAITING_TOKEN_COST_RATIO +
-      engine.placedRequestCount * RUNNING_REQUEST_COST_TOKENS +
-      crossZoneBytes * CROSS_ZONE_COST_TOKENS_PER_BYTE
-    );
-  }
-}
-
-/** 32-bit rendezvous weight of a text: FNV-1a with a multiplicative finalizer. */
-function hashWeight(text: string): number {
-  let hash = 2_166_136_261;
-  for (let at = 0; at < text.length; at++) {
-    hash = Math.imul(hash ^ text.charCodeAt(at), 16_777_619);
+      engine.placedRequestCount * RUNNING_REQUEST_COST_TOKENS;
+    return work * relativeTime + crossZoneBytes * CROSS_ZONE_COST_TOKENS_PER_BYTE;
   }
-  return Math.imul(hash ^ (hash >>> 15), 2_246_822_519) >>> 0;
 }
--- a/src/placing/EngineState.ts
+++ b/src/placing/EngineState.ts
@@ -1,6 +1,8 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as routing from '../routing/Types.js';
+import * as engineSpeeds from './EngineSpeeds.js';
 import type * as promptCacheEstimate from './PromptCacheEstimate.js';
+import * as reportedSlowdown from './ReportedSlowdown.js';
 import type * as types from './Types.js';
 
 /** Ejection time after the first failure of an engine; doubles with each consecutive failure. */
@@ -15,6 +17,13 @@
 
 /** Load, prompt cache estimate and failures of one engine, as seen by the placer. */
 export class EngineState {
+  /** Slowdowns that the engine reports. */
+  readonly slowdown = new reportedSlowdown.ReportedSlowdown();
+
+  private averageGap: commonTypes.Millis = 0;
+
+  private measuredStreams = 0;
+
   private placedCount = 0;
 
   private unreadTokens = 0;
@@ -48,6 +57,12 @@
     return this.unreadTokens;
   }
 
+  /** Average time between the events of its streams; undefined before it is known, or if the engine reports no slowdown. */
+  get pace(): commonTypes.Millis | undefined {
+    const isKnown = this.slowdown.isKnown && this.measuredStreams >= engineSpeeds.MIN_STREAMS;
+    return isKnown ? this.averageGap : undefined;
+  }
+
   /** Monotonic time until which the engine is ejected; 0 if it has not failed. */
   get ejectedUntil(): commonTypes.Millis {
     return this.ejectionEnd;
@@ -87,6 +102,13 @@
     this.placedCount -= 1;
   }
 
+  /** Records the mean time between the events of a stream that has ended. */
+  recordGap(gap: commonTypes.Millis): void {
+    this.measuredStreams += 1;
+    const weight = Math.max(engineSpeeds.PACE_WEIGHT, 1 / this.measuredStreams);
+    this.averageGap += weight * (gap - this.averageGap);
+  }
+
   /** Records a failure and ejects the engine for a time that doubles with each consecutive failure. */
   recordFailure(now: commonTypes.Millis): void {
     this.consecutiveFailures += 1;
