Keep quiet about cold endpoints of services that state no warm-up rate

Cause: the list tells of every endpoint how long it stays slow. ColdEndpoints passed that on by the feed, and logged nothing of endpoints that were listed cold when they were added, since it did not know their service yet.

Change: only endpoints that are limited are told to others and logged, once their service is known. Deployments without a warm-up rate send no such messages, as before. A configuration reports the endpoints whose rate it changes, not all.

--- a/src/ratelimit/ColdEndpoints.test.ts
+++ b/src/ratelimit/ColdEndpoints.test.ts
@@ -131,6 +131,20 @@
     cold.recordListed([{ endpointId: 'p', left: 3000 }]);
     list('p', 'p2');
     expect(cold.limitedIds).toEqual([]);
+    expect([cold.statements, changes]).toEqual([[], []]);
+  });
+
+  it('follows a configuration that changes or drops the rate', () => {
+    list('a');
+    cold.recordCrash('a');
+    const withRate = (warmUp?: routing.IWarmUp): ReadonlyMap<string, routing.IService> =>
+      new Map([['s', { name: 's', maxConnections: 4, ...(warmUp && { warmUp }) }]]);
+    cold.configure(withRate({ duration: 3000, rate: 5 }));
+    cold.configure(withRate({ duration: 9000, rate: 5 }));
+    expect(cold.limitOf('a')).toBe(5);
+    cold.configure(withRate());
+    expect(cold.limitOf('a')).toBeUndefined();
+    expect(changes).toHaveLength(3);
   });
 
   it('adopts what another VM knows before it has the list, and its age', async () => {
--- a/src/ratelimit/ColdEndpoints.ts
+++ b/src/ratelimit/ColdEndpoints.ts
@@ -24,6 +24,7 @@
 const OWN_CAUSES: readonly ColdCause[] = ['listed', 'answer', 'crash'];
 
 interface IColdRecord {
+  readonly cause: ColdCause;
   readonly until: commonTypes.Millis;
   readonly timer: commonTypes.IDisposable;
 }
@@ -64,8 +65,11 @@
 
   /** Applies the warm-up rates of a configuration. */
   configure(services: ReadonlyMap<string, routing.IService>): void {
+    const former = new Map(this.limitedIds.map((id) => [id, this.limitOf(id)]));
     this.services = services;
-    this.announce([...this.records.keys()]);
+    [...this.records.keys()]
+      .filter((id) => former.get(id) !== this.limitOf(id))
+      .forEach((endpointId) => this.changeEmitter.fire({ endpointId, isOwn: false }));
   }
 
   /** @inheritdoc */
@@ -78,15 +82,18 @@
     return [...this.records.keys()].filter((id) => this.limitOf(id) !== undefined);
   }
 
-  /** What is known of all cold endpoints. */
+  /** What is known of all endpoints that are limited. */
   get statements(): readonly types.IColdStatement[] {
-    return [...this.records.keys()].flatMap((id) => this.statementOf(id) ?? []);
+    return this.limitedIds.flatMap((id) => this.statementOf(id) ?? []);
   }
 
-  /** What is known of an endpoint; undefined if it is not cold. */
+  /** What is known of an endpoint; undefined if it is not limited. */
   statementOf(endpointId: string): types.IColdStatement | undefined {
     const record = this.records.get(endpointId);
-    return record && { endpointId, left: record.until - this.deps.clock.monotonic() };
+    const isLimited = this.limitOf(endpointId) !== undefined;
+    return record === undefined || !isLimited
+      ? undefined
+      : { endpointId, left: record.until - this.deps.clock.monotonic() };
   }
 
   /** @inheritdoc */
@@ -123,7 +130,12 @@
     const services = new Set(this.serviceById.values());
     const readyIds = [...services].flatMap((name) => directory.ready(name).map(({ id }) => id));
     this.readyIds = revision === 0 ? undefined : new Set(readyIds);
-    this.announce([...this.records.keys()].filter((id) => !former.ids.has(id)));
+    this.limitedIds
+      .filter((id) => !former.ids.has(id))
+      .forEach((endpointId) => {
+        this.reportStart(endpointId);
+        this.changeEmitter.fire({ endpointId, isOwn: false });
+      });
     if (former.ready !== undefined) {
       readyIds
         .filter((id) => former.ready?.has(id) === false)
@@ -142,7 +154,7 @@
   }
 
   private extend(endpointId: string, left: commonTypes.Millis, cause: ColdCause): void {
-    const { clock, logService, metrics } = this.deps;
+    const { clock } = this.deps;
     const capped = Math.min(left, MAX_COLD_MS);
     const until = clock.monotonic() + capped;
     const known = this.records.get(endpointId);
@@ -152,21 +164,29 @@
     }
     known?.timer.dispose();
     const timer = clock.setTimer(capped, () => this.end(endpointId));
-    this.records.set(endpointId, { until, timer });
-    if (known === undefined && this.limitOf(endpointId) !== undefined) {
-      logService.info('endpoint-cold', { endpoint: endpointId, cause, left: Math.round(capped) });
-      metrics.count('endpoint_cold', { cause });
+    this.records.set(endpointId, { cause, until, timer });
+    if (this.limitOf(endpointId) === undefined) {
+      return;
+    }
+    if (known === undefined) {
+      this.reportStart(endpointId);
     }
     this.changeEmitter.fire({ endpointId, isOwn: OWN_CAUSES.includes(cause) });
   }
 
   private end(endpointId: string): void {
+    const isLimited = this.limitOf(endpointId) !== undefined;
     this.records.delete(endpointId);
-    this.changeEmitter.fire({ endpointId, isOwn: false });
+    if (isLimited) {
+      this.changeEmitter.fire({ endpointId, isOwn: false });
+    }
   }
 
-  /** Reports endpoints whose rate may have become known or changed. */
-  private announce(endpointIds: readonly string[]): void {
-    endpointIds.forEach((endpointId) => this.changeEmitter.fire({ endpointId, isOwn: false }));
+  private reportStart(endpointId: string): void {
+    const { clock, logService, metrics } = this.deps;
+    const { cause, until } = this.records.get(endpointId) as IColdRecord;
+    const left = Math.round(until - clock.monotonic());
+    logService.info('endpoint-cold', { endpoint: endpointId, cause, left });
+    metrics.count('endpoint_cold', { cause });
   }
 }
