Count running requests at an engine by their number, whatever its speed

Cause: the cost of running requests was multiplied by an engine's relative time like that of reading. A slow engine has its requests for longer, so that it was charged twice for its speed, and requests with small prompts left the engines that held their shared part.

Change: relative time counts for the tokens to read, waiting ones among them. UnevenEngines.test.ts as before; the share of the slow engine is nearer to its part of the speed.

--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -294,10 +294,12 @@
     const crossZoneBytes = req.inputs
       .filter((input) => input.zone !== engine.endpoint.availabilityZone)
       .reduce((sum, input) => sum + input.bytes, 0);
-    const work =
-      unreadTokens +
-      engine.waitingTokens * WAITING_TOKEN_COST_RATIO +
-      engine.placedRequestCount * RUNNING_REQUEST_COST_TOKENS;
-    return work * relativeTime + crossZoneBytes * CROSS_ZONE_COST_TOKENS_PER_BYTE;
+    const tokensToRead = unreadTokens + engine.waitingTokens * WAITING_TOKEN_COST_RATIO;
+    // Engines with as many requests each get work by their speed, because a slow one keeps its requests for longer.
+    return (
+      tokensToRead * relativeTime +
+      engine.placedRequestCount * RUNNING_REQUEST_COST_TOKENS +
+      crossZoneBytes * CROSS_ZONE_COST_TOKENS_PER_BYTE
+    );
   }
 }
