--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -40,23 +40,6 @@
   hasStarted: boolean;
 }
 
-/** Availability zone and size of one input of a request. */
-export interface IInputLocation {
-  readonly zone: string;
-  readonly bytes: number;
-}
-
-/** A request to place on an engine. */
-export interface IPlacementRequest {
-  readonly planId: string;
-  readonly prompt: types.IPrompt;
-  readonly inputs: readonly IInputLocation[];
-  /** Ids of endpoints that failed this request; they are not chosen. */
-  readonly avoid: readonly string[];
-  /** Software version that the engine must have; undefined for any. */
-  readonly version?: string | undefined;
-}
-
 /**
  * Chooses a model engine for each request of one service by the lowest cost in prompt tokens. The cost
  * favours engines that have the shared prompt parts cached, short queues, and inputs in the same
@@ -108,7 +91,7 @@
    * chosen only if there are no others. Returns undefined if no engine is left, or none whose rate limit allows a
    * request now.
    */
-  place(req: IPlacementRequest): routing.IEndpoint | undefined {
+  place(req: types.IPlacementRequest): routing.IEndpoint | undefined {
     const now = this.clock.monotonic();
     const engines = this.enginesFor(req).filter(
       (engine) => this.rateLimiter.delayOf(engine.endpoint.id) === 0 && this.hasRoom(engine),
@@ -127,7 +110,7 @@
   /**
    * Time until the rate limit of an engine allows a request, 0 if it does now; infinite if no engine may run it.
    */
-  limitDelay(req: Pick<IPlacementRequest, 'avoid' | 'version'>): commonTypes.Millis {
+  limitDelay(req: Pick<types.IPlacementRequest, 'avoid' | 'version'>): commonTypes.Millis {
     const delays = this.enginesFor(req).map((engine) =>
       Math.max(
         this.rateLimiter.delayOf(engine.endpoint.id),
@@ -238,7 +221,7 @@
   private enginesFor({
     avoid,
     version,
-  }: Pick<IPlacementRequest, 'avoid' | 'version'>): readonly engineState.EngineState[] {
+  }: Pick<types.IPlacementRequest, 'avoid' | 'version'>): readonly engineState.EngineState[] {
     return [...this.engines.values()].filter(
       ({ endpoint }) =>
         !avoid.includes(endpoint.id) &&
@@ -246,7 +229,7 @@
     );
   }
 
-  private assign(engine: engineState.EngineState, req: IPlacementRequest): void {
+  private assign(engine: engineState.EngineState, req: types.IPlacementRequest): void {
     this.removeRequest(req.planId);
     const tokens = engine.addRequest(req.prompt, this.clock.monotonic());
     const placedAt = this.clock.monotonic();
@@ -260,7 +243,7 @@
 
   private findCheapest(
     engines: readonly engineState.EngineState[],
-    req: IPlacementRequest,
+    req: types.IPlacementRequest,
   ): engineState.EngineState | undefined {
     const fullThreshold = this.limits.slots * FULL_SLOTS_RATIO;
     const home = homeEngine.homeEngineOf(engines, req.prompt);
@@ -287,7 +270,7 @@
   /** `relativeTime` is the time that work takes on the engine, relative to others. */
   private costOf(
     engine: engineState.EngineState,
-    req: IPlacementRequest,
+    req: types.IPlacementRequest,
     relativeTime: number,
   ): number {
     const unreadTokens = req.prompt.tokensIn - engine.promptCache.cachedTokens(req.prompt);
--- a/src/placing/Types.ts
+++ b/src/placing/Types.ts
@@ -15,3 +15,20 @@
   /** Maximum number of tokens that may be generated. */
   readonly tokensOut: number;
 }
+
+/** Availability zone and size of one input of a request. */
+export interface IInputLocation {
+  readonly zone: string;
+  readonly bytes: number;
+}
+
+/** A request to place on an engine. */
+export interface IPlacementRequest {
+  readonly planId: string;
+  readonly prompt: IPrompt;
+  readonly inputs: readonly IInputLocation[];
+  /** Ids of endpoints that failed this request; they are not chosen. */
+  readonly avoid: readonly string[];
+  /** Software version that the engine must have; undefined for any. */
+  readonly version?: string | undefined;
+}
