Hold a bounded number of bytes for callers, and close those that hold most for longest

Cause: the door kept every part of a body until its end, each small part as a buffer of its own; a request was parsed however many were waiting before it; connections, fields and unread answers had no bound; paths without a route read bodies whole.

Change: ByteBudget counts what is held by purpose; leases are taken before bytes are kept and returned once.

--- a/src/common/Refusals.ts
+++ b/src/common/Refusals.ts
@@ -55,6 +55,11 @@
     type: 'invalid_request',
     when: 'the body is larger than the limit',
   },
+  'request-timeout': {
+    status: 408,
+    type: 'invalid_request',
+    when: 'the request was not complete within its time; it has not run',
+  },
   'key-required': {
     status: 400,
     type: 'invalid_request',
--- a/src/common/services/MetricsServer.ts
+++ b/src/common/services/MetricsServer.ts
@@ -1,14 +1,22 @@
 import * as http from 'node:http';
+import * as serverGuard from '../memory/ServerGuard.js';
 import type * as commonTypes from '../Types.js';
 import type * as metricsRegistry from './MetricsRegistry.js';
 
+/** Time for a whole request; none has a body. */
+const REQUEST_TIMEOUT_MS = 2000;
+const GUARD = { door: 'metrics', maxConnections: 16 };
+
 /** HTTP server that serves the metrics of a process at `/metrics` in the Prometheus text format. */
 export class MetricsServer implements commonTypes.IDisposable {
   private readonly server: http.Server;
 
   /** Renders `registry` for each request, after `refresh` has updated its gauges. */
   constructor(registry: metricsRegistry.MetricsRegistry, refresh: () => void) {
-    this.server = http.createServer((req, res) => {
+    this.server = http.createServer(serverGuard.guardedOptions(REQUEST_TIMEOUT_MS), (req, res) => {
+      if (serverGuard.announcesBody(req)) {
+        res.setHeader('Connection', 'close');
+      }
       if (req.url !== '/metrics') {
         res.writeHead(404).end();
         return;
@@ -17,6 +25,7 @@
       res.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' });
       res.end(registry.render());
     });
+    serverGuard.guardServer(this.server, GUARD, registry);
   }
 
   /** Starts to listen. `onFailed` is called when that fails; the process continues without metrics. */
--- a/src/entry/http/CallerServer.ts
+++ b/src/entry/http/CallerServer.ts
@@ -13,6 +13,33 @@
 import type * as types from './Types.js';
 
 const DRAINING_RETRY_AFTER_MS = 1_000;
+/** Interval between checks for requests that are not complete in time. */
+const TIMEOUT_CHECK_MS = 500;
+
+/** Code, status line and message for errors of the parser, by error code; any other error gives MALFORMED. */
+const PARSER_ERRORS: Readonly<Record<string, IParserError>> = {
+  HPE_HEADER_OVERFLOW: {
+    code: 'bad-header',
+    statusLine: '431 Request Header Fields Too Large',
+    message: 'the headers are too large',
+  },
+  ERR_HTTP_REQUEST_TIMEOUT: {
+    code: 'request-timeout',
+    statusLine: '408 Request Timeout',
+    message: 'the request was not complete in time; send it again',
+  },
+};
+const MALFORMED: IParserError = {
+  code: 'bad-header',
+  statusLine: '400 Bad Request',
+  message: 'the input is not an HTTP/1.1 request',
+};
+
+interface IParserError {
+  readonly code: 'bad-header' | 'request-timeout';
+  readonly statusLine: string;
+  readonly message: string;
+}
 
 /** HTTP/1.1 server for callers; each request is handled by its own asynchronous task. */
 export class CallerServer implements commonTypes.IDisposable {
@@ -36,7 +63,13 @@
   ) {
     const { maxHeaderBytes, headersTimeout, requestTimeout, keepAliveTimeout } = options;
     this.server = http.createServer(
-      { maxHeaderSize: maxHeaderBytes, headersTimeout, requestTimeout, keepAliveTimeout },
+      {
+        maxHeaderSize: maxHeaderBytes,
+        headersTimeout,
+        requestTimeout,
+        keepAliveTimeout,
+        connectionsCheckingInterval: TIMEOUT_CHECK_MS,
+      },
       (req, res) => {
         void this.serve(req, res);
       },
@@ -191,7 +224,7 @@
   }
 
   /**
-   * Answers input that is not valid HTTP, after the requests before it, and closes the connection, since its framing is
+   * Answers input that is not valid HTTP or not complete in time, after the requests before it, and closes the connection, since its framing is
    * lost.
    */
   private refuseMalformed(err: NodeJS.ErrnoException, socket: stream.Duplex): void {
@@ -199,14 +232,13 @@
       socket.destroy();
       return;
     }
-    const tooLarge = err.code === 'HPE_HEADER_OVERFLOW';
-    const message = tooLarge ? 'the headers are too large' : 'the input is not an HTTP/1.1 request';
-    const failure = new requestError.RequestError('bad-header', message, { run: 'not-run' });
+    const { code, statusLine, message } = PARSER_ERRORS[err.code ?? ''] ?? MALFORMED;
+    const failure = new requestError.RequestError(code, message, { run: 'not-run' });
     this.countFailure(failure);
     this.log.info('refused', { reason: failure.code, cause: err.code });
     const body = answers.errorBody(failure, callerHeaders.newRequestId());
     const head = [
-      `HTTP/1.1 ${tooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request'}`,
+      `HTTP/1.1 ${statusLine}`,
       'connection: close',
       'content-type: application/json',
       `content-length: ${Buffer.byteLength(body)}`,
--- a/src/gateway/AnswerBody.ts
+++ b/src/gateway/AnswerBody.ts
@@ -1,4 +1,5 @@
 import type * as stream from 'node:stream';
+import type * as byteBudget from '../common/memory/ByteBudget.js';
 import * as growingBuffer from '../common/GrowingBuffer.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as types from './Types.js';
@@ -13,22 +14,32 @@
 /** A body that was read completely, or the reason for which it was not. */
 export type BodyResult = { readonly body: Buffer } | { readonly fault: string };
 
-/** Reads a body up to its end; destroys its connection if it exceeds `maxBytes`. */
+/**
+ * Reads a body up to its end; destroys its connection if it exceeds `maxBytes`. While `memory` has no room, the rest of
+ * the body waits at the endpoint.
+ */
 export async function readBody(
   body: stream.Readable,
   isComplete: () => boolean,
   maxBytes: number,
+  memory?: byteBudget.ByteBudget,
 ): Promise<BodyResult> {
   const received = new growingBuffer.GrowingBuffer();
+  const lease = memory?.lease('answer');
   try {
     for await (const chunk of body) {
       received.append(chunk as Buffer);
+      while (lease?.resize(received.length) === false && !body.destroyed) {
+        await memory?.freed();
+      }
       if (received.length > maxBytes) {
         return { fault: `body exceeds ${maxBytes} bytes` };
       }
     }
   } catch (err) {
     return { fault: (err as Error).message };
+  } finally {
+    lease?.dispose();
   }
   return isComplete() ? { body: received.take() } : { fault: 'body truncated' };
 }
--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -1,50 +1,37 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import type * as byteBudget from '../common/memory/ByteBudget.js';
+import * as connectionLimit from '../common/memory/ConnectionLimit.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
+import * as callerConnection from './CallerConnection.js';
+import * as sendDeadlines from './SendDeadlines.js';
 
 /** A connection between two requests closes this long after the idle timeout, for requests sent just before it. */
 const CLOSE_DELAY_MS = 500;
-/** Time that a caller has at least to read an answer that is complete close to the deadline of its request. */
-const MIN_SEND_TIME_MS = 1000;
 /** Time by which the server's check of header timeouts may be late. */
 const HEAD_CHECK_MARGIN_MS = 1500;
 /** While the server shuts down, a connection that has not been used yet may wait this long for its first request. */
 const UNUSED_GRACE_MS = 1000;
 
+/** While more connections than these are open, the bytes of unfinished heads on later ones are charged. */
+const UNWATCHED_CONNECTIONS = 128;
+/** After more connections than CROWD were open, the fall to UNWATCHED_CONNECTIONS leaves much garbage. */
+const CROWD_CONNECTIONS = 256;
+/** Memory of a byte of an unfinished head, whose fields are kept as strings. */
+const HEAD_BYTE_BYTES = 12;
+
+/** Why a connection that is not proper is closed. */
+export type CloseCause = 'sent-ahead' | 'not-reading' | 'too-many' | 'no-room';
+
 /** Components that the connections use. */
 export interface ICallerConnectionsDependencies {
   readonly clock: commonTypes.IClock;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
-}
-
-/**
- * What the server waits for on a connection: `request` for the first byte of the next request, `body` for the rest of a
- * body, `answer` for its own answer. A head that has begun to arrive is in state `request`, too.
- */
-type ConnectionState = 'request' | 'body' | 'answer';
-
-interface IConnection {
-  readonly socket: net.Socket;
-  state: ConnectionState;
-  /** Whether a request has arrived on the connection. */
-  isUsed: boolean;
-  /** Requests that were read completely and whose answer is not sent. */
-  waitingAnswers: number;
-  /** Time of the last progress of the caller, or since which the state lasts. */
-  since: commonTypes.Millis;
-  /** Bytes that had arrived when state `request` began. */
-  bytesBefore: number;
-  /** Bytes that had arrived when the timer of state `request` expired last, or when the state began. */
-  checkedBytes: number;
-  timer: commonTypes.IDisposable | undefined;
-  /** Latest request whose head has arrived. */
-  latest: http.IncomingMessage | undefined;
-  /** Called when the caller makes no progress with a body. */
-  onStalledBody: (() => void) | undefined;
-  /** Response to bytes that are no request, sent after the answers to the requests before them. */
-  rejection: string | undefined;
+  readonly memory: byteBudget.ByteBudget;
+  /** Maximum number of open connections. */
+  readonly maxConnections: number;
 }
 
 /**
@@ -57,27 +44,37 @@
  * server.on('connection', (socket) => connections.add(socket));
  */
 export class CallerConnections implements commonTypes.IDisposable {
-  private readonly connections = new Map<net.Socket, IConnection>();
+  private readonly connections = new Map<net.Socket, callerConnection.ICallerConnection>();
 
-  /** Times by which callers must have read their answers. */
-  private readonly sendDeadlines = new WeakMap<http.ServerResponse, commonTypes.Millis>();
+  private isCrowded = false;
+
+  private readonly sendDeadlines: sendDeadlines.SendDeadlines;
 
   /** The timeouts apply until `setTimeouts` is called; `headerTimeout` is the one that the server enforces. */
   constructor(
     private readonly deps: ICallerConnectionsDependencies,
     private idleTimeout: commonTypes.Millis,
     private headerTimeout: commonTypes.Millis,
-  ) {}
+  ) {
+    this.sendDeadlines = new sendDeadlines.SendDeadlines(deps);
+  }
 
   /** Number of open connections. */
   get count(): number {
     return this.connections.size;
   }
 
-  /** Starts to track a connection that has been accepted. */
+  /** Starts to track a connection that has been accepted, or closes it if no other can give way to it. */
   add(socket: net.Socket): void {
-    const connection: IConnection = {
+    if (!this.makeRoom()) {
+      this.close(socket, 'too-many');
+      return;
+    }
+    const connection: callerConnection.ICallerConnection = {
       socket,
+      address: socket.remoteAddress ?? '',
+      headLease: this.deps.memory.lease('connection', () => this.close(socket, 'no-room')),
+      enteredAt: 0,
       state: 'request',
       isUsed: false,
       waitingAnswers: 0,
@@ -90,10 +87,17 @@
       rejection: undefined,
     };
     this.connections.set(socket, connection);
+    this.isCrowded ||= this.connections.size > CROWD_CONNECTIONS;
     this.enterState(connection, 'request');
+    if (this.connections.size > UNWATCHED_CONNECTIONS) {
+      // Before the parser's own listener, so that the bytes are charged before their fields are kept.
+      socket.prependListener('data', () => this.chargeHead(connection));
+    }
     socket.once('close', () => {
       connection.timer?.dispose();
+      connection.headLease.dispose();
       this.connections.delete(socket);
+      this.recordClose();
     });
   }
 
@@ -120,6 +124,21 @@
     });
   }
 
+  /** Closes a connection whose caller does not behave. */
+  close(socket: net.Socket, cause: CloseCause): void {
+    if (!socket.destroyed) {
+      this.deps.logService.info('connection-closed', { cause, open: this.connections.size });
+      this.deps.metrics.count('connections_closed', { door: 'callers', cause });
+      this.deps.memory.markBusy();
+      socket.destroy();
+    }
+  }
+
+  /** Number of requests on a connection that were read completely and whose answer is not sent. */
+  waitingAnswers(socket: net.Socket): number {
+    return this.connections.get(socket)?.waitingAnswers ?? 0;
+  }
+
   /** Records that the head of a request has arrived. */
   recordHead(req: http.IncomingMessage): void {
     const connection = this.connections.get(req.socket);
@@ -160,7 +179,7 @@
     }
     connection.waitingAnswers += 1;
     this.enterState(connection, 'answer');
-    res.once('prefinish', () => this.limitSending(socket, res, requestId));
+    res.once('prefinish', () => this.sendDeadlines.start(socket, res, requestId, this.idleTimeout));
     res.once('close', () => this.endAnswer(connection));
   }
 
@@ -201,7 +220,7 @@
   closeIdle(): void {
     const now = this.deps.clock.monotonic();
     [...this.connections.values()]
-      .filter((connection) => CallerConnections.isIdle(connection))
+      .filter((connection) => callerConnection.isIdle(connection))
       .filter(({ isUsed, since }) => isUsed || now - since > UNUSED_GRACE_MS)
       .forEach(({ socket }) => socket.destroy());
   }
@@ -211,13 +230,51 @@
     [...this.connections.keys()].forEach((socket) => socket.destroy());
   }
 
-  private static isIdle({ state, socket, bytesBefore }: IConnection): boolean {
-    return state === 'request' && socket.bytesRead === bytesBefore;
+  /** Whether one more connection may be open; closes another one for it if need be. */
+  private makeRoom(): boolean {
+    const { maxConnections, clock } = this.deps;
+    if (this.connections.size < maxConnections) {
+      return true;
+    }
+    const views = [...this.connections.values()].map(callerConnection.viewOf);
+    const victim = connectionLimit.chooseVictim(views, clock.monotonic());
+    if (victim === undefined) {
+      return false;
+    }
+    this.close(victim.socket, 'too-many');
+    this.connections.delete(victim.socket);
+    return true;
+  }
+
+  private recordClose(): void {
+    if (this.isCrowded && this.connections.size <= UNWATCHED_CONNECTIONS) {
+      this.isCrowded = false;
+      this.deps.memory.markBusy();
+    }
   }
 
-  private enterState(connection: IConnection, state: ConnectionState): void {
+  private chargeHead({
+    state,
+    socket,
+    bytesBefore,
+    headLease,
+  }: callerConnection.ICallerConnection): void {
+    if (state === 'request') {
+      const bytes = (socket.bytesRead - bytesBefore) * HEAD_BYTE_BYTES;
+      if (!headLease.resize(bytes)) {
+        this.close(socket, 'no-room');
+      }
+    }
+  }
+
+  private enterState(
+    connection: callerConnection.ICallerConnection,
+    state: callerConnection.ConnectionState,
+  ): void {
+    connection.headLease.resize(0);
     Object.assign(connection, {
       state,
+      enteredAt: this.deps.clock.monotonic(),
       since: this.deps.clock.monotonic(),
       bytesBefore: connection.socket.bytesRead,
       checkedBytes: connection.socket.bytesRead,
@@ -225,7 +282,7 @@
     this.startTimer(connection);
   }
 
-  private startTimer(connection: IConnection): void {
+  private startTimer(connection: callerConnection.ICallerConnection): void {
     connection.timer?.dispose();
     const { clock } = this.deps;
     const isTimed = connection.state !== 'answer';
@@ -235,11 +292,11 @@
     });
   }
 
-  private dueAt({ since, state }: IConnection): commonTypes.Millis {
+  private dueAt({ since, state }: callerConnection.ICallerConnection): commonTypes.Millis {
     return since + this.idleTimeout + (state === 'request' ? CLOSE_DELAY_MS : 0);
   }
 
-  private expire(connection: IConnection): void {
+  private expire(connection: callerConnection.ICallerConnection): void {
     if (this.dueAt(connection) > this.deps.clock.monotonic()) {
       this.startTimer(connection);
     } else if (connection.state === 'body') {
@@ -256,7 +313,7 @@
    * Checks a connection again on which bytes have arrived but no head: the header timeout limits a head that has begun,
    * but nothing limits blank lines.
    */
-  private checkAgain(connection: IConnection): void {
+  private checkAgain(connection: callerConnection.ICallerConnection): void {
     const { clock } = this.deps;
     Object.assign(connection, {
       checkedBytes: connection.socket.bytesRead,
@@ -267,20 +324,7 @@
     });
   }
 
-  /** Closes the connection if the caller has not read a complete answer at the deadline of its request. */
-  private limitSending(socket: net.Socket, res: http.ServerResponse, requestId: string): void {
-    const { clock, logService, metrics } = this.deps;
-    const now = clock.monotonic();
-    const deadline = this.sendDeadlines.get(res) ?? now + this.idleTimeout;
-    const timer = clock.setTimer(Math.max(MIN_SEND_TIME_MS, deadline - now), () => {
-      logService.info('caller-not-reading', { request: requestId, unsent: socket.writableLength });
-      metrics.count('caller_disconnects', { cause: 'not-reading' });
-      socket.destroy();
-    });
-    res.once('close', () => timer.dispose());
-  }
-
-  private endAnswer(connection: IConnection): void {
+  private endAnswer(connection: callerConnection.ICallerConnection): void {
     const { socket } = connection;
     Object.assign(connection, { waitingAnswers: connection.waitingAnswers - 1 });
     if (connection.waitingAnswers > 0 || socket.destroyed) {
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -379,6 +379,7 @@
       answer.body,
       () => answer.isComplete(),
       answerBody.MAX_BODY_BYTES,
+      this.deps.memory,
     );
     if (scope.isFinished) {
       return { kind: 'done' };
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -1,5 +1,6 @@
 import * as stream from 'node:stream';
 import * as vitest from 'vitest';
+import * as ampleBudget from '../common/memory/testing/AmpleBudget.js';
 import type * as blameTable from '../blame/BlameTable.js';
 import * as blame from '../blame/testing/Blame.js';
 import * as fakeBlameLink from '../blame/testing/FakeBlameLink.js';
@@ -250,6 +251,7 @@
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       streams,
       budget: new retryBudget.RetryBudget(limits, clock, () => 1),
+      memory: ampleBudget.ampleBudget(clock),
       logService: log,
       metrics,
       entryVmCount: () => 1,
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -1,4 +1,5 @@
 import type * as blameTable from '../blame/BlameTable.js';
+import type * as byteBudget from '../common/memory/ByteBudget.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as streamVersions from '../coordination/StreamVersions.js';
@@ -30,6 +31,8 @@
   readonly planner: coordination.IPlanner;
   readonly balancer: serviceBalancer.ServiceBalancer;
   readonly budget: retryBudget.RetryBudget;
+  /** Memory for responses that are read completely before they are sent. */
+  readonly memory: byteBudget.ByteBudget;
   readonly permits: rateLimits.IPermitService;
   readonly rooms: endpointRooms.EndpointRooms;
   readonly blameTable: blameTable.BlameTable;
@@ -82,6 +85,16 @@
     return this.index?.find(host, path) !== undefined;
   }
 
+  /** Whether a request with this host, target and API key passes the checks that `handle` makes first. */
+  isServable(host: string, target: string, apiKey: string | undefined): boolean {
+    const { index } = this;
+    const route = index?.find(host, target.split('?', 1)[0] as string);
+    if (this.draining || index === undefined || route === undefined) {
+      return false;
+    }
+    return route.isPublic || index.findWorkspace(apiKey) !== 'unknown-key';
+  }
+
   /** Puts a configuration in force; ignores it unless it is newer than the current one. */
   configure(table: routing.IRoutingTable): void {
     if (table.version > this.version) {
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -415,7 +415,12 @@
     if (!answer.isGenuine) {
       return { fault: 'not an answer to this request' };
     }
-    return answerBody.readBody(answer.body, () => answer.isComplete(), answerBody.MAX_BODY_BYTES);
+    return answerBody.readBody(
+      answer.body,
+      () => answer.isComplete(),
+      answerBody.MAX_BODY_BYTES,
+      this.deps.memory,
+    );
   }
 
   /** Reads the body of a rejection; ends the call if the body does not end. */
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -3,6 +3,7 @@
  * its endpoints.
  */
 import type * as stream from 'node:stream';
+import type * as byteBudget from '../common/memory/ByteBudget.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as placing from '../placing/Types.js';
@@ -191,6 +192,8 @@
   readonly clock: commonTypes.IClock;
   readonly caller: IEndpointCaller;
   readonly budget: retryBudget.RetryBudget;
+  /** Memory for responses that are read completely before they are sent. */
+  readonly memory: byteBudget.ByteBudget;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
   /** Maximum number of connections from this VM to one endpoint of a service. */
--- a/src/relay/Relay.test.ts
+++ b/src/relay/Relay.test.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 import * as vitest from 'vitest';
+import * as ampleBudget from '../common/memory/testing/AmpleBudget.js';
 import * as seededRandom from '../common/SeededRandom.js';
 import * as systemClock from '../common/SystemClock.js';
 import * as recordingLog from '../common/testing/RecordingLogService.js';
@@ -42,6 +43,7 @@
         connector: fake,
         isEndpoint: (known) => known === endpointAddress,
         isPathLost: () => vm.isPathLost,
+        memory: ampleBudget.ampleBudget(clock),
         logService,
         metrics,
       }),
--- a/src/relay/RelayServer.ts
+++ b/src/relay/RelayServer.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import type * as byteBudget from '../common/memory/ByteBudget.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import * as types from './Types.js';
@@ -38,6 +39,8 @@
   readonly isEndpoint: (address: string) => boolean;
   /** Whether this VM has lost its own path to an endpoint. */
   readonly isPathLost: (address: string) => boolean;
+  /** Memory for bytes that one side of a tunnel has not read. */
+  readonly memory: byteBudget.ByteBudget;
   readonly logService: commonServices.ILogService;
   readonly metrics: commonServices.IMetricsService;
 }
@@ -123,11 +126,12 @@
     if (!deps.isEndpoint(address)) {
       return { status: STATUSES.unknown, reason: 'not an endpoint in the list' };
     }
-    if (this.isDraining || tunnels.size >= MAX_TUNNELS) {
-      return {
-        status: STATUSES.unavailable,
-        reason: this.isDraining ? 'draining' : 'too many tunnels',
-      };
+    if (this.isDraining) {
+      return { status: STATUSES.unavailable, reason: 'draining' };
+    }
+    if (tunnels.size >= MAX_TUNNELS || deps.memory.isPressed) {
+      const reason = deps.memory.isPressed ? 'no memory' : 'too many tunnels';
+      return { status: STATUSES.unavailable, reason };
     }
     return deps.isPathLost(address)
       ? { status: STATUSES.unavailable, reason: 'path lost here, too' }
@@ -146,16 +150,23 @@
    */
   private join(tunnel: ITunnel, endpoint: net.Socket): void {
     const { client } = tunnel;
+    const lease = this.deps.memory.lease('relay', () => client.resetAndDestroy());
     const recordUse = (): void => {
       Object.assign(tunnel, { usedAt: this.deps.clock.monotonic() });
+      lease.charge(client.writableLength + endpoint.writableLength);
     };
     client.on('data', recordUse);
     endpoint.on('data', recordUse);
+    client.on('drain', recordUse);
+    endpoint.on('drain', recordUse);
     client.pipe(endpoint);
     endpoint.pipe(client);
     // A caller that left must reach the endpoint at once, which could otherwise go on with the request.
     client.once('end', () => endpoint.destroy());
-    client.once('close', () => endpoint.destroy());
+    client.once('close', () => {
+      lease.dispose();
+      endpoint.destroy();
+    });
     endpoint.on('error', () => client.resetAndDestroy());
     endpoint.once('close', () => client.end());
   }
