--- a/src/common/memory/ByteBudget.ts
+++ b/src/common/memory/ByteBudget.ts
@@ -4,9 +4,11 @@
 import type * as types from './Types.js';
 
 /** Above the soft limit, only leases up to this size grow, so that small requests still find room. */
-const SMALL_LEASE_BYTES = 65_536;
+const SMALL_LEASE_BYTES = 24_576;
 /** A holder is closed at this age at the earliest; requests in calm are done by then. */
 const MIN_RECLAIM_AGE_MS = 500;
+/** A holder of less is not closed: many would have to be, for little. */
+const MIN_RECLAIM_BYTES = 16_384;
 /** Shortest interval between two searches for holders to close that freed nothing. */
 const RECLAIM_INTERVAL_MS = 20;
 /** Closing goes on until this part of the soft limit is held, so that the next growth does not search again. */
@@ -155,7 +157,9 @@
     const target = this.limits.softBytes * RECLAIM_TARGET_RATIO - growth;
     const weigh = ({ bytes, since }: byteLease.ByteLease): number => bytes * (now - since);
     const candidates = [...this.leases]
-      .filter((lease) => lease !== asking && lease.isReclaimable && lease.bytes > 0)
+      .filter(
+        (lease) => lease !== asking && lease.isReclaimable && lease.bytes >= MIN_RECLAIM_BYTES,
+      )
       .filter(({ since }) => now - since >= MIN_RECLAIM_AGE_MS)
       .sort((a, b) => weigh(b) - weigh(a));
     for (const lease of candidates) {
