Let one of several responses go on when all of them wait for memory

"is cut by the timeout of the route if its deadline is later" got three 504 where the connection is to be cut; "is cut by its deadline in a plain answer" followed while these were open.

ByteBudget.test.ts has the case (the oldest of three goes on).

--- a/src/common/memory/ByteBudget.test.ts
+++ b/src/common/memory/ByteBudget.test.ts
@@ -91,6 +91,14 @@
     expect(closed).toEqual([]);
   });
 
+  test('lets the oldest of several responses go on when all of them wait', () => {
+    const answers = [1, 2, 3].map(() => budget.lease('answer'));
+    answers.forEach((answer) => expect(answer.resize(330_000)).toBe(true));
+    expect(answers.map((answer) => answer.resize(400_000))).toEqual([true, false, false]);
+    answers[0]?.dispose();
+    expect(answers[1]?.resize(LARGE_BYTES)).toBe(true);
+  });
+
   test('a holder that was closed holds nothing any more', async () => {
     const lease = hold('a', 2 * LARGE_BYTES);
     await clock.advance(AGED_MS);
--- a/src/common/memory/ByteBudget.ts
+++ b/src/common/memory/ByteBudget.ts
@@ -115,8 +115,8 @@
     const growth = bytes - lease.bytes;
     if (growth > 0 && this.held + growth > this.limits.softBytes) {
       this.reclaimFor(lease, growth);
-      const isSmall = bytes <= SMALL_LEASE_BYTES;
-      const limit = isSmall ? this.limits.hardBytes : this.limits.softBytes;
+      const mayPass = bytes <= SMALL_LEASE_BYTES || lease === this.oldestAnswer;
+      const limit = mayPass ? this.limits.hardBytes : this.limits.softBytes;
       if (lease.isOver || this.held + growth > limit) {
         this.deps.metrics.count('held_bytes_refused', { purpose: lease.purpose });
         return false;
@@ -148,6 +148,11 @@
     }
   }
 
+  /** The response that is being read for longest; it may go on, or all of them would wait for one another. */
+  private get oldestAnswer(): byteLease.ByteLease | undefined {
+    return [...this.leases].find(({ purpose }) => purpose === 'answer');
+  }
+
   /** Closes holders, those with the most bytes times age first, until `growth` bytes fit below the target. */
   private reclaimFor(asking: byteLease.ByteLease, growth: number): void {
     const now = this.deps.clock.monotonic();
