Send late engine requests to a second engine where the operator allows extra work

Cause: an engine that pauses or is slow keeps a request waiting for its first event, though others are free.

Ruled out: a decision on each entry VM (one VM sees a request or two a second and learns no quantile; a limit on the extra work of all VMs would need an exchange); a second plan (makes all stage results again).

Change: the coordinator knows the work ahead of each request and the times of all VMs. It names with each plan the time after which the VM may ask for a second engine (PlanHedges), and alone grants one, for the same stage results, of the same software version, not in a zone from which the late answers come. The VM races the two calls up to the head of a response (CallRace), cancels the loser at once and says who won. Repeatable routes only, before the first event, within the route's executions and the retry budget. A lone planner does not hedge. Earlier builds name no time and are asked for nothing.

--- a/bench/stages/FailoverPlanner.ts
+++ b/bench/stages/FailoverPlanner.ts
@@ -89,6 +89,14 @@
     return this.coordinator?.reassign(planId, failed, failure) ?? Promise.resolve(LOST);
   }
 
+  /** @inheritdoc */
+  hedge(): Promise<undefined> {
+    return Promise.resolve(undefined);
+  }
+
+  /** @inheritdoc */
+  settleHedge(): void {}
+
   /** @inheritdoc */
   cancel(planId: string): void {
     this.coordinator?.cancel(planId);
--- a/bench/stages/NaivePlanner.ts
+++ b/bench/stages/NaivePlanner.ts
@@ -50,6 +50,14 @@
     return REFUSED;
   }
 
+  /** @inheritdoc */
+  hedge(): Promise<undefined> {
+    return Promise.resolve(undefined);
+  }
+
+  /** @inheritdoc */
+  settleHedge(): void {}
+
   /** @inheritdoc */
   cancel(planId: string): void {
     this.markEnded(planId);
--- a/src/control/DocumentProcess.ts
+++ b/src/control/DocumentProcess.ts
@@ -9,6 +9,8 @@
 import * as feedServer from '../coordination/FeedServer.js';
 import * as streamRecorder from '../coordination/StreamRecorder.js';
 import * as streamVersions from '../coordination/StreamVersions.js';
+import * as hedgePolicy from '../hedging/HedgePolicy.js';
+import type * as hedging from '../hedging/Types.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import * as endpointPoller from '../routing/EndpointPoller.js';
 import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
@@ -82,6 +84,8 @@
   readonly rejectionLimits: rateLimitTable.RateLimitTable;
   /** Checks whether engines that fail requests have crashed. */
   readonly crashConfirmer: blame.ICrashConfirmer;
+  /** Limits of second engines beside late ones; undefined if there are none. */
+  readonly hedgeLimits?: hedging.IHedgeLimits | undefined;
   readonly source: endpointPoller.IEndpointSource;
   /** Receives the addresses of entry VMs that connect this VM to endpoints. */
   readonly onRelays: (relays: readonly string[]) => void;
@@ -158,6 +162,7 @@
       const ids = new Set(endpoints.map(({ id }) => id));
       [limits, rejectionLimits].forEach((table) => table.retain(ids));
     });
+    const { hedgeLimits } = dependencies;
     const coordinator = disposables.add(
       new coordinators.Coordinator({
         clock,
@@ -170,6 +175,7 @@
         blameTable: crashes,
         crashConfirmer,
         admitsTrials: true,
+        hedgePolicy: hedgeLimits && new hedgePolicy.HedgePolicy(hedgeLimits, clock),
         logService,
         metrics,
       }),
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -5,6 +5,7 @@
 import * as enginePlacer from '../placing/EnginePlacer.js';
 import type * as rateLimitTable from '../ratelimit/RateLimitTable.js';
 import type * as rateLimits from '../ratelimit/Types.js';
+import type * as hedging from '../hedging/Types.js';
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as rooms from '../room/Types.js';
 import * as unboundedRoom from '../room/UnboundedRoom.js';
@@ -12,6 +13,7 @@
 import * as continuedStream from './ContinuedStream.js';
 import * as placementQueue from './PlacementQueue.js';
 import * as planAdmission from './PlanAdmission.js';
+import * as planHedges from './PlanHedges.js';
 import * as planVersions from './PlanVersions.js';
 import * as planQuarantine from './PlanQuarantine.js';
 import * as resultReleaser from './ResultReleaser.js';
@@ -29,6 +31,8 @@
   readonly rejectionLimits?: rateLimitTable.RateLimitTable;
   /** Software versions that began the streams of requests; absent if nothing else records them. */
   readonly streams?: streamVersions.StreamVersions;
+  /** Decides on second engines for late requests; absent if there are none. */
+  readonly hedgePolicy?: hedging.IHedgePolicy | undefined;
 }
 
 interface IPlanState {
@@ -74,6 +78,8 @@
 
   private readonly quarantine: planQuarantine.PlanQuarantine;
 
+  private readonly hedges: planHedges.PlanHedges | undefined;
+
   private routingTable: routing.IRoutingTable | undefined;
 
   private readonly subscription: commonTypes.IDisposable;
@@ -102,6 +108,8 @@
       unplacedPlans: (service, priority) => this.countUnplaced(service, priority),
     });
     this.quarantine = new planQuarantine.PlanQuarantine(deps, () => this.refuseQuarantined());
+    const { hedgePolicy: policy } = deps;
+    this.hedges = policy && new planHedges.PlanHedges({ ...deps, policy });
   }
 
   /** Software versions that began the streams of requests. */
@@ -275,12 +283,25 @@
     }
     const plan = this.plans.get(planId);
     if (plan !== undefined) {
+      this.hedges?.recordStarted(planId);
       this.placers.get(plan.req.service)?.markStarted(planId);
       plan.results = undefined;
       plan.job.cancel();
     }
   }
 
+  /** @inheritdoc */
+  hedge(planId: string): Promise<routing.IEndpoint | undefined> {
+    const plan = this.plans.get(planId);
+    const mayHedge = plan?.results !== undefined && !this.hasExpiringResults(plan);
+    return Promise.resolve(mayHedge ? this.hedges?.request(planId) : undefined);
+  }
+
+  /** @inheritdoc */
+  settleHedge(planId: string, winner: string): void {
+    this.hedges?.settle(planId, winner);
+  }
+
   /** @inheritdoc */
   markEnded(planId: string, failed?: string): void {
     if (failed !== undefined) {
@@ -384,10 +405,15 @@
     }
     this.quarantine.recordPlaced(req, endpoint);
     this.versions.recordPlaced(req, endpoint.version ?? '');
+    const hedgeAfter =
+      placer === undefined || req.isResumable === false
+        ? undefined
+        : this.hedges?.recordPlaced({ planId, service: req.service, placer, placement });
     this.resolvePlan(plan, {
       kind: 'ready',
       endpoint,
       inputs: results.map(({ handle }) => handle),
+      ...(hedgeAfter === undefined ? {} : { hedgeAfter }),
     });
   }
 
@@ -475,6 +501,7 @@
       this.latestPlanIds.delete(plan.req.requestId);
     }
     this.placers.get(plan.req.service)?.removeRequest(planId);
+    this.hedges?.remove(planId);
     this.placementQueue.retry(plan.req.service);
     plan.job.cancel();
     this.resolvePlan(plan, {
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -9,6 +9,7 @@
 import type * as rooms from '../room/Types.js';
 import type * as routing from '../routing/Types.js';
 import * as feedConnection from './FeedConnection.js';
+import * as hedgeRequests from './HedgeRequests.js';
 import * as heldResults from './HeldResults.js';
 import * as leaderHints from './LeaderHints.js';
 import * as leaderSearch from './LeaderSearch.js';
@@ -84,6 +85,8 @@
 
   private readonly pending = new Map<string, IPendingPlan>();
 
+  private readonly hedgeRequests = new hedgeRequests.HedgeRequests();
+
   private readonly hints: leaderHints.LeaderHints;
 
   private connection: feedConnection.FeedConnection | undefined;
@@ -307,8 +310,25 @@
     this.send({ kind: 'trial', trialId, traits });
   }
 
+  /** @inheritdoc */
+  hedge(planId: string): Promise<routing.IEndpoint | undefined> {
+    if (!this.hasCoordinator) {
+      return Promise.resolve(undefined);
+    }
+    const answered = this.hedgeRequests.add(planId);
+    this.send({ kind: 'hedge', planId });
+    return answered;
+  }
+
+  /** @inheritdoc */
+  settleHedge(planId: string, winner: string): void {
+    this.hedgeRequests.resolve(planId, undefined);
+    this.send({ kind: 'hedge-end', planId, winner });
+  }
+
   /** @inheritdoc */
   cancel(planId: string): void {
+    this.hedgeRequests.resolve(planId, undefined);
     this.pending.delete(planId);
     this.finishPlan(planId, { kind: 'cancel', planId });
   }
@@ -535,6 +555,9 @@
       case 'permit':
         this.permitEmitter.fire(message.answer);
         break;
+      case 'hedged':
+        this.hedgeRequests.resolve(message.planId, message.endpoint);
+        break;
       case 'planned':
         this.pending.get(message.planId)?.resolve(message.outcome);
         this.pending.delete(message.planId);
@@ -592,6 +615,7 @@
 
   private failPending(): void {
     this.coordinatorLostEmitter.fire();
+    this.hedgeRequests.dropAll();
     const pendingPlans = [...this.pending.values()];
     this.pending.clear();
     pendingPlans.forEach(({ resolve }) => resolve(LOST_OUTCOME));
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -319,6 +319,12 @@
           planner.reassign(message.planId, message.failed, failureOf(message)),
         );
         break;
+      case 'hedge':
+        void this.sendHedge(session, message.planId);
+        break;
+      case 'hedge-end':
+        planner.settleHedge(message.planId, message.winner);
+        break;
       case 'cancel':
         session.plans.delete(message.planId);
         planner.cancel(message.planId);
@@ -425,6 +431,13 @@
     }
   }
 
+  private async sendHedge(session: ISession, planId: string): Promise<void> {
+    const endpoint = await this.deps.coordinator.hedge(planId);
+    if (this.sessions.has(session)) {
+      session.stream.write({ kind: 'hedged', planId, ...(endpoint && { endpoint }) });
+    }
+  }
+
   /** Refuses a plan that the coordinator could not make because of an unexpected error. */
   private refuseFailed(planId: string, err: Error): types.PlanOutcome {
     this.deps.logService.error('plan-failed', { plan: planId, reason: err.stack });
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -85,6 +85,8 @@
       readonly endpoint: routing.IEndpoint;
       /** Handles of the stage results that the engine reads. */
       readonly inputs: readonly string[];
+      /** Time after which `hedge` may be called while the engine has not answered; absent for never. */
+      readonly hedgeAfter?: commonTypes.Millis;
     }
   | IPlanRefused;
 
@@ -94,6 +96,13 @@
   plan(req: IPlanRequest, onResult?: ResultListener): Promise<PlanOutcome>;
   /** Chooses another engine for the same results, after the engine with the id `failed` did not answer the request. */
   reassign(planId: string, failed: string, failure: EngineFailure): Promise<PlanOutcome>;
+  /**
+   * Requests a second engine for a request whose engine has not answered after `hedgeAfter`, for the same results; undefined
+   * if it gets none. Followed by `settleHedge` if it gets one.
+   */
+  hedge(planId: string): Promise<routing.IEndpoint | undefined>;
+  /** Records which of two engines, by its id, answered first; an empty id if neither did. */
+  settleHedge(planId: string, winner: string): void;
   /** Cancels a plan whose caller has left or that is no longer needed. */
   cancel(planId: string): void;
   /**
@@ -155,6 +164,10 @@
       readonly isNotRun?: boolean;
     }
   | { readonly kind: 'cancel'; readonly planId: string }
+  /** The engine of the plan has not answered for its `hedgeAfter`: requests a second one. */
+  | { readonly kind: 'hedge'; readonly planId: string }
+  /** One of two engines has answered first; `winner` is its id, empty if neither did. */
+  | { readonly kind: 'hedge-end'; readonly planId: string; readonly winner: string }
   /** The engine has begun its answer; `isError` if that is an error response, absent means false. */
   | { readonly kind: 'started'; readonly planId: string; readonly isError?: boolean }
   | { readonly kind: 'ended'; readonly planId: string; readonly failed?: string }
@@ -231,4 +244,6 @@
   | { readonly kind: 'blame'; readonly news: blame.IBlameNews }
   | { readonly kind: 'trial'; readonly answer: blame.ITrialAnswer }
   | { readonly kind: 'permit'; readonly answer: rateLimits.IPermitAnswer }
+  /** Answer to a request for a second engine; without an endpoint if there is none. */
+  | { readonly kind: 'hedged'; readonly planId: string; readonly endpoint?: routing.IEndpoint }
   | { readonly kind: 'planned'; readonly planId: string; readonly outcome: PlanOutcome };
--- /dev/null
+++ b/src/gateway/CallRace.ts
@@ -0,0 +1,110 @@
+import type * as commonTypes from '../common/Types.js';
+import type * as routing from '../routing/Types.js';
+import type * as engineCall from './EngineCall.js';
+import type * as types from './Types.js';
+
+/** How a call was answered. */
+export type CallEnd =
+  | { readonly kind: 'answered'; readonly answer: types.IEndpointAnswer }
+  | { readonly kind: 'failed'; readonly err: Error };
+
+/** What a race of two calls asks for. */
+export interface ICallRaceSteps {
+  /** Requests a second engine; undefined if there is none. */
+  readonly requestEngine: () => Promise<routing.IEndpoint | undefined>;
+  /** Sends the request to the second engine. */
+  readonly start: (endpoint: routing.IEndpoint) => engineCall.EngineCall;
+  /** Receives the result: the call that is used, and the other one with its end, undefined if it was cancelled. */
+  readonly onSettled: (
+    winner: engineCall.EngineCall,
+    loser: engineCall.EngineCall,
+    loserEnd: CallEnd | undefined,
+  ) => void;
+}
+
+/**
+ * Sends a request to a second engine if the first one has not answered after a delay, and uses the call that is answered
+ * first. A failed call loses to the other one; of two failed calls the first one is used.
+ */
+export class CallRace {
+  /** `clock` measures the delay. */
+  constructor(
+    private readonly clock: commonTypes.IClock,
+    private readonly steps: ICallRaceSteps,
+  ) {}
+
+  /** Resolves with the call to use, once its answer is there or has failed. */
+  async run(
+    first: engineCall.EngineCall,
+    delay: commonTypes.Millis,
+  ): Promise<engineCall.EngineCall> {
+    const firstEnd = endOf(first);
+    if ((await this.isAnsweredWithin(firstEnd, delay)) !== undefined) {
+      return first;
+    }
+    const endpoint = await Promise.race([
+      firstEnd.then(() => undefined),
+      this.steps.requestEngine(),
+    ]);
+    if (endpoint === undefined) {
+      await firstEnd;
+      return first;
+    }
+    const second = this.steps.start(endpoint);
+    const secondEnd = endOf(second);
+    const ended = await Promise.race([
+      firstEnd.then((end) => ({ call: first, end, other: second, otherEnd: secondEnd })),
+      secondEnd.then((end) => ({ call: second, end, other: first, otherEnd: firstEnd })),
+    ]);
+    if (isUsable(ended.end)) {
+      this.settle(ended.call, ended.other, undefined);
+      return ended.call;
+    }
+    const otherEnd = await ended.otherEnd;
+    if (isUsable(otherEnd)) {
+      this.settle(ended.other, ended.call, ended.end);
+      return ended.other;
+    }
+    this.settle(first, second, ended.call === second ? ended.end : otherEnd);
+    return first;
+  }
+
+  private settle(
+    winner: engineCall.EngineCall,
+    loser: engineCall.EngineCall,
+    loserEnd: CallEnd | undefined,
+  ): void {
+    loser.cancel();
+    loser.dispose();
+    this.steps.onSettled(winner, loser, loserEnd);
+  }
+
+  private isAnsweredWithin(
+    end: Promise<CallEnd>,
+    delay: commonTypes.Millis,
+  ): Promise<CallEnd | undefined> {
+    return new Promise((resolve) => {
+      const timer = this.clock.setTimer(delay, () => resolve(undefined));
+      void end.then((value) => {
+        timer.dispose();
+        resolve(value);
+      });
+    });
+  }
+}
+
+function endOf(call: engineCall.EngineCall): Promise<CallEnd> {
+  return call.answer.then(
+    (answer) => ({ kind: 'answered', answer }),
+    (err: Error) => ({ kind: 'failed', err }),
+  );
+}
+
+/** Whether a call has begun the stream that the caller asked for. */
+function isUsable(end: CallEnd): boolean {
+  if (end.kind === 'failed') {
+    return false;
+  }
+  const { isNotRun, isGenuine, status } = end.answer;
+  return !isNotRun && isGenuine && status >= 200 && status < 300;
+}
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -8,12 +8,12 @@
 import type * as endpointRooms from '../room/EndpointRooms.js';
 import type * as routing from '../routing/Types.js';
 import * as answerBody from './AnswerBody.js';
+import type * as engineCall from './EngineCall.js';
+import * as engineCalls from './EngineCalls.js';
 import * as eventRelay from './EventRelay.js';
 import type * as requestScope from './RequestScope.js';
 import * as types from './Types.js';
 
-/** Attempts for one request, including those that an endpoint rejected. */
-const MAX_ATTEMPTS = 4;
 /** Maximum number of plans for one request; after it, a lost plan is not replaced. */
 const MAX_PLANS = 6;
 /** Delay before a lost plan is replaced; also the Retry-After value when no further attempt is allowed. */
@@ -49,6 +49,15 @@
   /** The attempt was cancelled because a trait of the request was quarantined meanwhile. */
   | { readonly kind: 'quarantined' };
 
+/** A plan whose stages are complete and that has an engine. */
+type ReadyPlan = coordination.PlanOutcome & { readonly kind: 'ready' };
+
+/** An attempt that has ended, and its engine. */
+interface IEndedAttempt {
+  readonly endpoint: routing.IEndpoint;
+  readonly attempt: AttemptOutcome;
+}
+
 /**
  * Handles one request to a model engine. The planner runs the stages of the request and chooses an engine; the response
  * of the engine is then relayed to the caller. A stream that breaks is resumed on another engine if the route allows.
@@ -58,15 +67,14 @@
 
   private planCount = 0;
 
-  /** Attempts in which the request was executed or may have been. */
-  private executions = 0;
-
   /** Id of the current plan: the request's id and the number of the plan. */
   private planId = '';
 
   /** Whether the stage results of the current plan were released, because an engine started to respond. */
   private inputsReleased = false;
 
+  private readonly calls: engineCalls.EngineCalls;
+
   /** Response whose head was sent to the caller. */
   private begun: types.IEndpointAnswer | undefined;
 
@@ -88,6 +96,12 @@
   ) {
     const { request, service, workspace } = scope;
     this.relay = new eventRelay.EventRelay(scope);
+    this.calls = new engineCalls.EngineCalls(scope, deps, {
+      buildCall: (endpoint, inputs) => this.buildCall(endpoint, inputs),
+      mayStillHedge: () =>
+        !scope.responseStarted && !this.relay.hasForwarded && this.quarantineRefusal === undefined,
+      log: (event, fields) => this.log(event, fields),
+    });
     this.fingerprint = blameTraits.fingerprintOf({ ...request, workspace: workspace?.name });
     this.traits = blameTraits.traitsOf(service, this.fingerprint, request.prompt);
     this.continuedId = request.continuedId ?? (request.lastEventId ? '' : undefined);
@@ -114,8 +128,7 @@
         outcome = await this.plan(avoid);
         continue;
       }
-      const { endpoint, inputs } = outcome;
-      const attempt = await this.attempt(endpoint, inputs);
+      const { endpoint, attempt } = await this.attempt(outcome);
       if (scope.isFinished || attempt.kind === 'done') {
         unregister();
         return;
@@ -123,7 +136,7 @@
       if (attempt.kind === 'quarantined') {
         continue;
       }
-      avoid = [...avoid, endpoint.id];
+      avoid = [...avoid, outcome.endpoint.id, endpoint.id];
       const isBlamed = await this.isBlamed(attempt, endpoint);
       if (scope.isFinished) {
         return;
@@ -215,14 +228,14 @@
   private mayRetry(attempt: AttemptOutcome): boolean {
     const { scope, deps } = this;
     const { route } = scope;
-    if (scope.attemptCount >= MAX_ATTEMPTS) {
+    if (scope.attemptCount >= engineCalls.MAX_ATTEMPTS) {
       return false;
     }
     if (attempt.kind === 'not-run') {
       return deps.budget.take();
     }
     const isRepeatable = route.kind === 'safe' || route.resumable;
-    return isRepeatable && this.executions < route.maxExecutions && deps.budget.take();
+    return isRepeatable && this.calls.executions < route.maxExecutions && deps.budget.take();
   }
 
   /** Rejects the request after the planner refused it; a response that has started is aborted. */
@@ -258,39 +271,58 @@
     this.scope.responder.reject(rejection, retryAfter);
   }
 
-  /** Sends the request to one engine and relays its response. */
-  private async attempt(
-    endpoint: routing.IEndpoint,
-    inputs: readonly string[],
-  ): Promise<AttemptOutcome> {
-    const { scope, deps } = this;
-    scope.attemptCount += 1;
-    scope.attemptsInFlight += 1;
-    this.executions += 1;
-    const { version = '' } = endpoint;
-    if (!this.relay.hasForwarded) {
-      const { request, service } = scope;
-      deps.streams.record({ requestId: request.id, version, service });
-    }
+  /**
+   * Sends the request to the engine of a plan, and to a second one if the first one is late, and relays the response that
+   * begins first. Resolves with that attempt and its engine.
+   */
+  private async attempt(plan: ReadyPlan): Promise<IEndedAttempt> {
+    const { deps } = this;
+    const { endpoint, inputs, hedgeAfter } = plan;
+    this.recordVersion(endpoint);
     const started = deps.clock.monotonic();
-    const call = deps.caller.send(this.buildCall(endpoint, inputs));
-    const placed = deps.rooms.recordPlaced(this.planId, endpoint.id);
-    const unregister = scope.onFinish(() => call.cancel());
+    const first = this.calls.start(endpoint, inputs, this.planId);
     let isQuarantined = false;
     const subscription = deps.blameTable.onVerdict(() => {
       if (!isQuarantined && !this.inputsReleased && this.quarantineRefusal !== undefined) {
         isQuarantined = true;
-        call.cancel();
+        this.calls.cancelAll();
       }
     });
+    let call = first;
+    try {
+      if (hedgeAfter !== undefined) {
+        call = await this.calls.race(first, inputs, this.planId, hedgeAfter);
+      }
+      const attempt = await this.relayCall(call, started, () => isQuarantined);
+      return { endpoint: call.endpoint, attempt };
+    } finally {
+      subscription.dispose();
+      this.calls.end(call);
+    }
+  }
+
+  private recordVersion({ version = '' }: routing.IEndpoint): void {
+    if (!this.relay.hasForwarded) {
+      const { request, service } = this.scope;
+      this.deps.streams.record({ requestId: request.id, version, service });
+    }
+  }
+
+  private async relayCall(
+    call: engineCall.EngineCall,
+    started: commonTypes.Millis,
+    isQuarantined: () => boolean,
+  ): Promise<AttemptOutcome> {
+    const { scope, deps } = this;
+    const { endpoint } = call;
     try {
       const answer = await call.answer;
       const outcome = await this.relayAnswer(answer);
       if (this.relay.hasForwarded) {
-        this.version ??= version;
+        this.version ??= endpoint.version ?? '';
       }
       const took = Math.round(deps.clock.monotonic() - started);
-      if (isQuarantined) {
+      if (isQuarantined()) {
         this.log('sending-ended', { endpoint: endpoint.id, end: 'quarantined', took });
         return { kind: 'quarantined' };
       }
@@ -308,7 +340,7 @@
         call.cancel();
         throw err;
       }
-      const end = isQuarantined ? 'quarantined' : 'lost';
+      const end = isQuarantined() ? 'quarantined' : 'lost';
       this.log('sending-ended', { endpoint: endpoint.id, end, reason: err.message });
       if (end === 'lost') {
         deps.metrics.count('answer_lost', { kind: 'engine' });
@@ -317,21 +349,16 @@
         scope.mayHaveRun = true;
         return { kind: end };
       }
-      this.executions -= 1;
+      this.calls.recordNotRun();
       const isHealthy = deps.caller.isPathInDoubt(endpoint);
       return { kind: 'not-run', inputsLost: false, isHealthy };
-    } finally {
-      subscription.dispose();
-      placed.dispose();
-      unregister();
-      scope.attemptsInFlight -= 1;
     }
   }
 
   private async relayAnswer(answer: types.IEndpointAnswer): Promise<AttemptOutcome> {
     const { scope, deps } = this;
     if (answer.isNotRun) {
-      this.executions -= 1;
+      this.calls.recordNotRun();
       const inputsLost = !answer.isWrongEndpoint && answer.status === 409;
       return { kind: 'not-run', inputsLost, isHealthy: answer.namesRateLimit };
     }
@@ -402,7 +429,7 @@
   /** Reads the body of a rejection; ends the call if the body does not end. */
   private async drainRejection(
     answer: types.IEndpointAnswer,
-    call: types.IStartedCall,
+    call: Pick<types.IStartedCall, 'cancel'>,
     endpointId: string,
   ): Promise<void> {
     const reason = await answerBody.drainRejection(answer, this.deps.clock);
--- a/src/gateway/FallbackPlanner.ts
+++ b/src/gateway/FallbackPlanner.ts
@@ -1,6 +1,7 @@
 import type * as batching from '../batching/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as coordination from '../coordination/Types.js';
+import type * as routing from '../routing/Types.js';
 
 /** Planner that forwards to the coordinator, which plans for all entry VMs. */
 export interface ICoordinatorPlanner extends coordination.IPlanner {
@@ -78,6 +79,17 @@
     return planner.reassign(planId, failed, failure);
   }
 
+  /** @inheritdoc */
+  hedge(planId: string): Promise<routing.IEndpoint | undefined> {
+    const planner = this.plannerByPlan.get(planId);
+    return planner === undefined ? Promise.resolve(undefined) : planner.hedge(planId);
+  }
+
+  /** @inheritdoc */
+  settleHedge(planId: string, winner: string): void {
+    this.plannerByPlan.get(planId)?.settleHedge(planId, winner);
+  }
+
   /** @inheritdoc */
   cancel(planId: string): void {
     this.plannerByPlan.get(planId)?.cancel(planId);
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -214,6 +214,8 @@
         return planOutcomes.shift() as coordination.PlanOutcome;
       },
       reassign: async () => planOutcomes.shift() as coordination.PlanOutcome,
+      hedge: () => Promise.resolve(undefined),
+      settleHedge: () => {},
       cancel: (planId) => cancelledPlans.push(planId),
       markStarted: (planId, isSuccess) => startedPlans.push(`${planId} ${isSuccess}`),
       markEnded: (planId, failed) => failedEngines.push(failed),
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -34,6 +34,8 @@
 interface IPlacedRequest {
   readonly engine: engineState.EngineState;
   readonly unreadTokens: number;
+  /** Prompt tokens that the engine had to read before it could start the request, its own ones included. */
+  readonly tokensAhead: number;
   readonly placedAt: commonTypes.Millis;
   hasStarted: boolean;
 }
@@ -44,6 +46,16 @@
   readonly bytes: number;
 }
 
+/** What an engine has to do for a request before its first token. */
+export interface IPlacedWork {
+  readonly endpoint: routing.IEndpoint;
+  /** Prompt tokens of the request that the engine has to read. */
+  readonly tokens: number;
+  /** The same with those of the requests that waited there before. */
+  readonly tokensAhead: number;
+  readonly placedAt: commonTypes.Millis;
+}
+
 /** A request to place on an engine. */
 export interface IPlacementRequest {
   readonly planId: string;
@@ -152,6 +164,32 @@
     return isUnlimited ? undefined : rates.reduce<number>((sum, rate) => sum + (rate ?? 0), 0);
   }
 
+  /** What the engine of a request has to do before its first token; undefined if the request is on no engine. */
+  workOf(planId: string): IPlacedWork | undefined {
+    const placed = this.placedRequests.get(planId);
+    return (
+      placed && {
+        endpoint: placed.engine.endpoint,
+        tokens: placed.unreadTokens,
+        tokensAhead: placed.tokensAhead,
+        placedAt: placed.placedAt,
+      }
+    );
+  }
+
+  /** Requests on all engines as a fraction of those that they run concurrently. */
+  get occupancy(): number {
+    const slots = this.engines.size * this.limits.slots;
+    return slots === 0 ? 1 : this.placedRequests.size / slots;
+  }
+
+  /** Ids of the engines in an availability zone. */
+  enginesIn(availabilityZone: string): readonly string[] {
+    return [...this.engines.values()]
+      .filter(({ endpoint }) => endpoint.availabilityZone === availabilityZone)
+      .map(({ endpoint }) => endpoint.id);
+  }
+
   /** Records that the engine has read the request's prompt; repeated calls have no effect. */
   markStarted(planId: string): void {
     const placed = this.placedRequests.get(planId);
@@ -223,11 +261,13 @@
 
   private assign(engine: engineState.EngineState, req: IPlacementRequest): void {
     this.removeRequest(req.planId);
+    const { waitingTokens } = engine;
     const tokens = engine.addRequest(req.prompt, this.clock.monotonic());
     const placedAt = this.clock.monotonic();
     this.placedRequests.set(req.planId, {
       engine,
       unreadTokens: tokens,
+      tokensAhead: waitingTokens + tokens,
       placedAt,
       hasStarted: false,
     });
