--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -11,6 +11,7 @@
 import type * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as roomKeeper from '../room/RoomKeeper.js';
 import type * as routing from '../routing/Types.js';
+import type * as zoneState from '../zones/ZoneState.js';
 import type * as coordinator from './Coordinator.js';
 import * as blameExchange from './BlameExchange.js';
 import * as feedCodec from './FeedCodec.js';
@@ -22,6 +23,7 @@
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
 import * as sessionStream from './SessionStream.js';
+import * as slicedQueue from './SlicedQueue.js';
 import * as topicFeeds from './TopicFeeds.js';
 import type * as types from './Types.js';
 
@@ -44,6 +46,26 @@
 /** Time after which the caller of a plan that failed for an unexpected error may come back. */
 const FAILED_PLAN_RETRY_MS = 1000;
 
+/** Messages that wait and are still of use after their session was closed. */
+const OUTLIVING_KINDS: ReadonlySet<types.UpMessage['kind']> = new Set([
+  'cancel',
+  'started',
+  'ended',
+  'spare',
+  'limits',
+  'rejection-limits',
+  'room-end',
+  'blame',
+  'streams',
+]);
+/** Messages that are answered with the state, the configuration or the endpoint list; they go before all others. */
+const URGENT_KINDS: ReadonlySet<types.UpMessage['kind']> = new Set([
+  'hello',
+  'probe',
+  'endpoints',
+  'resend',
+]);
+
 /** Whether the VM of a session knows the outcome of a plan. */
 type PlanProgress = 'pending' | 'ready';
 
@@ -51,6 +73,8 @@
   readonly stream: sessionStream.SessionStream;
   vm: string;
   version: number;
+  /** Revision of the set of closed zones that was sent to the VM in this session. */
+  zonesRevision: number;
   /** Whether the VM had a configuration when it connected. */
   hasConfiguration: boolean;
   /** Address at which the VM connects others to endpoints; undefined if it does not. */
@@ -68,6 +92,8 @@
 export interface IFeedServerDependencies {
   readonly log: controlTypes.IReplicatedLog;
   readonly document: documentState.DocumentState;
+  /** Availability zones out of service; absent if none is ever. */
+  readonly zones?: zoneState.ZoneState;
   readonly directory: endpointDirectory.EndpointDirectory;
   readonly coordinator: coordinator.Coordinator;
   readonly rateLimitTable: rateLimitTable.RateLimitTable;
@@ -107,6 +133,9 @@
 
   private isCoordinating = false;
 
+  /** Endpoint list that was sent to all entry VMs last. */
+  private sentList: routing.IEndpointList | undefined;
+
   private leaderSeenAt: commonTypes.Millis;
 
   private readonly recentEntryCount: recentMaximum.RecentMaximum;
@@ -119,6 +148,8 @@
 
   private readonly listRequests: listRequests.ListRequests;
 
+  private readonly inbox: slicedQueue.SlicedQueue;
+
   /** Registers the feed service at `server` and starts to send the state to entry VMs at a fixed interval. */
   constructor(
     server: grpc.Server,
@@ -132,6 +163,9 @@
     this.feeds = new topicFeeds.TopicFeeds(sender, this.traffic);
     this.news = new newsFeed.NewsFeed(clock, sender, this.traffic);
     this.listRequests = new listRequests.ListRequests(clock);
+    this.inbox = new slicedQueue.SlicedQueue(clock, () =>
+      deps.metrics.count('feed_messages_deferred'),
+    );
     server.addService(feedCodec.FEED_SERVICE, {
       open: (stream: sessionStream.ServerStream) => this.openSession(stream),
     });
@@ -167,14 +201,14 @@
     );
     this.subscriptions.push(
       sender,
+      this.inbox,
       this.rateLimitExchange,
       this.blameExchange,
       this.relayExchange,
       this.roomExchange,
       deps.document.onChange((document) => this.handleDocument(document)),
-      deps.directory.onChange(() =>
-        this.sessions.forEach((session) => this.sendEndpointsTo(session)),
-      ),
+      ...(deps.zones === undefined ? [] : [deps.zones.onChange(() => this.broadcastDocument())]),
+      deps.directory.onChange((list) => this.handleEndpoints(list)),
       deps.log.onLeadership((leads) => this.handleLeadership(leads)),
     );
     void this.runStateLoop();
@@ -214,6 +248,7 @@
       stream: new sessionStream.SessionStream(stream, this.traffic),
       vm: '',
       version: 0,
+      zonesRevision: 0,
       hasConfiguration: false,
       relay: undefined,
       held: undefined,
@@ -222,7 +257,7 @@
       pendingResults: [],
     };
     this.sessions.add(session);
-    stream.on('data', (message: types.UpMessage) => this.handleMessage(session, message));
+    stream.on('data', (message: types.UpMessage) => this.receive(session, message));
     stream.on('error', (err: Error) => this.closeSession(session, err.message));
     stream.on('end', () => this.closeSession(session, 'ended'));
     stream.on('cancelled', () => this.closeSession(session, 'cancelled'));
@@ -280,8 +315,19 @@
       .forEach((session) => this.closeSession(session, 'silent'));
   }
 
-  private handleMessage(session: ISession, message: types.UpMessage): void {
+  /** Handles a message in its turn, so that what many VMs send at once does not hold up heartbeats of the group. */
+  private receive(session: ISession, message: types.UpMessage): void {
     Object.assign(session, { lastReceivedAt: this.deps.clock.monotonic() });
+    const { kind } = message;
+    const handle = (): void => {
+      if (this.sessions.has(session) || OUTLIVING_KINDS.has(kind)) {
+        this.handleMessage(session, message);
+      }
+    };
+    this.inbox.add(handle, URGENT_KINDS.has(kind) ? 'high' : 'normal');
+  }
+
+  private handleMessage(session: ISession, message: types.UpMessage): void {
     const { coordinator: planner } = this.deps;
     const send = (down: types.DownMessage): void => {
       session.stream.write(down);
@@ -526,24 +572,38 @@
   }
 
   /**
-   * Sends the configuration when it is newer than the one of the session's VM. A VM without a configuration, which would
-   * serve by any that it gets, gets it only from a leader that is known to hold the newest, or from a control VM that has
-   * known no leader for `LEADERLESS_TIMEOUT_MS`.
+   * Sends the zones out of service, and then the configuration, when they are newer than those of the session's VM. A VM
+   * without a configuration, which would serve by any that it gets, gets it only from a leader that is known to hold the
+   * newest, or from a control VM that has known no leader for `LEADERLESS_TIMEOUT_MS`.
    */
   private sendDocumentTo(session: ISession): void {
     const { document, clock, log } = this.deps;
     const configuration = document.current;
     const isLeaderless = clock.monotonic() - this.leaderSeenAt > LEADERLESS_TIMEOUT_MS;
-    if (
-      configuration !== undefined &&
-      configuration.version > session.version &&
-      (session.hasConfiguration || log.status().isStateCurrent || isLeaderless)
-    ) {
+    const mayServe = session.hasConfiguration || log.status().isStateCurrent || isLeaderless;
+    this.sendZonesTo(session);
+    if (configuration !== undefined && configuration.version > session.version && mayServe) {
       Object.assign(session, { version: configuration.version });
       this.feeds.sendDocument(session, configuration.version, configuration.text);
     }
   }
 
+  /** Sends a new endpoint list; the directory also tells of zones that were closed, which leave the list as it is. */
+  private handleEndpoints(list: routing.IEndpointList): void {
+    if (list !== this.sentList) {
+      this.sentList = list;
+      this.sessions.forEach((session) => this.sendEndpointsTo(session));
+    }
+  }
+
+  private sendZonesTo(session: ISession): void {
+    const closed = this.deps.zones?.current;
+    if (closed !== undefined && closed.revision > session.zonesRevision) {
+      Object.assign(session, { zonesRevision: closed.revision });
+      session.stream.write({ kind: 'zones', closed });
+    }
+  }
+
   private sendEndpointsTo(session: ISession): void {
     if (this.canPlan) {
       this.feeds.sendEndpoints(session, this.deps.directory.current);
@@ -576,6 +636,7 @@
       const fields = {
         sessions: this.sessions.size,
         queuedBytes,
+        waitingMessages: this.inbox.length,
         recentBytes: recentBytes.join(' '),
       };
       this.deps.logService.warn('feed-load', fields);
--- a/src/coordination/testing/FeedVm.ts
+++ b/src/coordination/testing/FeedVm.ts
@@ -5,6 +5,7 @@
 import * as recordingLog from '../../common/testing/RecordingLogService.js';
 import type * as rateLimitedLink from '../../common/testing/RateLimitedLink.js';
 import type * as routing from '../../routing/Types.js';
+import type * as zoneTypes from '../../zones/Types.js';
 
 type Listener = (message: types.UpMessage) => void;
 
@@ -13,6 +14,9 @@
   /** Newest configuration that arrived. */
   version = 0;
 
+  /** Zones out of service that arrived last. */
+  closedZones: zoneTypes.IClosedZones | undefined;
+
   /** Newest endpoint list that arrived, as JSON. */
   endpoints = '';
 
@@ -24,6 +28,8 @@
 
   private readonly listeners: Listener[] = [];
 
+  private onEnd: () => void = () => {};
+
   private readonly updates = new updateReceiver.UpdateReceiver(
     new recordingLog.RecordingLogService(),
     (topic) => this.send({ kind: 'resend', topic }),
@@ -42,6 +48,8 @@
       on: (event: string, listener: Listener) => {
         if (event === 'data') {
           this.listeners.push(listener);
+        } else if (event === 'end') {
+          this.onEnd = listener as () => void;
         }
       },
       write: (bytes: Buffer, onAccepted: () => void) => {
@@ -61,6 +69,12 @@
     this.send({ kind: 'hello', vm: this.name, version: this.version, ...held });
   }
 
+  /** Ends the connection. */
+  disconnect(): void {
+    this.listeners.length = 0;
+    this.onEnd();
+  }
+
   /** Sends a message to the server. */
   send(message: types.UpMessage): void {
     this.listeners.forEach((listener) => listener(message));
@@ -77,6 +91,8 @@
       this.receiveState(message);
     } else if (message.kind === 'update') {
       this.receiveUpdate(message);
+    } else if (message.kind === 'zones') {
+      this.closedZones = message.closed;
     } else if (message.kind === 'document') {
       this.version = message.version;
     } else if (message.kind === 'endpoints') {
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -128,6 +128,11 @@
         outcome = await this.plan(avoid);
         continue;
       }
+      if (!deps.caller.isOpen(outcome.endpoint)) {
+        avoid = [...avoid, outcome.endpoint.id];
+        outcome = await this.replaceClosed(outcome.endpoint);
+        continue;
+      }
       const { endpoint, attempt } = await this.attempt(outcome);
       if (scope.isFinished || attempt.kind === 'done') {
         unregister();
@@ -165,6 +170,13 @@
     return isBroken && !(await this.deps.caller.hasLostPath(endpoint));
   }
 
+  /** Chooses another engine, because the zone of the planned one went out of service before the send. */
+  private replaceClosed(endpoint: routing.IEndpoint): Promise<coordination.PlanOutcome> {
+    this.deps.metrics.count('retry', { reason: 'zone-closed' });
+    this.log('engine-zone-closed', { endpoint: endpoint.id, zone: endpoint.availabilityZone });
+    return this.deps.planner.reassign(this.planId, endpoint.id, 'limited');
+  }
+
   /**
    * Chooses an engine for the next attempt: under the current plan if its stage results are kept, else by a new plan.
    */
@@ -350,7 +362,7 @@
         return { kind: end };
       }
       this.calls.recordNotRun();
-      const isHealthy = deps.caller.isPathInDoubt(endpoint);
+      const isHealthy = deps.caller.isPathInDoubt(endpoint) || !deps.caller.isOpen(endpoint);
       return { kind: 'not-run', inputsLost: false, isHealthy };
     }
   }
