Check second engines again before the send, and give unused ones back

While the coordinator is asked for a second engine, the first call can answer, the caller can leave, the request can be quarantined and the engine's zone can go out of service.

- A second engine that was granted after the first answer was never settled: the coordinator counted it as busy until the request ended, and its verdict `granted` had no race.
The race now tells the planner.
- Only the first sends were held back from a closed zone.
The second engine passes the same gate, and the request's own checks once more.
- Each question drew on the retry budget, also when the answer was no: while all engines are slow, late requests would have used up what real retries need.
It is drawn on when the second call starts.
- An unexpected error in the race left the first call open without an owner.

--- a/src/gateway/CallRace.test.ts
+++ b/src/gateway/CallRace.test.ts
@@ -74,7 +74,8 @@
   let second: FakeCall;
   let started: number;
   let settled: string[];
-  let offered: routing.IEndpoint | undefined;
+  let offered: routing.IEndpoint | undefined | Promise<undefined>;
+  let withdrawn: number;
   let winner: Promise<engineCall.EngineCall>;
 
   beforeEach(() => {
@@ -84,12 +85,16 @@
     started = 0;
     settled = [];
     offered = second.endpoint;
+    withdrawn = 0;
     const race = new callRace.CallRace(clock, {
       requestEngine: async () => offered,
       start: () => {
         started += 1;
         return second as unknown as engineCall.EngineCall;
       },
+      onWithdrawn: () => {
+        withdrawn += 1;
+      },
       onSettled: (won, lost, end) =>
         settled.push(`${won.endpoint.id} beats ${lost.endpoint.id}: ${end?.kind ?? 'pending'}`),
     });
@@ -155,4 +160,12 @@
     expect((await winner).endpoint.id).toBe('first');
     expect(started).toBe(0);
   });
+
+  test('gives the second engine back where the first answers before that is known', async () => {
+    offered = new Promise<undefined>(() => {});
+    await clock.advance(HEDGE_AFTER_MS);
+    first.respond();
+    expect((await winner).endpoint.id).toBe('first');
+    expect([started, withdrawn]).toEqual([0, 1]);
+  });
 });
--- a/src/gateway/CallRace.ts
+++ b/src/gateway/CallRace.ts
@@ -12,8 +12,10 @@
 export interface ICallRaceSteps {
   /** Requests a second engine; undefined if there is none. */
   readonly requestEngine: () => Promise<routing.IEndpoint | undefined>;
-  /** Sends the request to the second engine. */
-  readonly start: (endpoint: routing.IEndpoint) => engineCall.EngineCall;
+  /** Sends the request to the second engine; undefined if it may not be sent there any more. */
+  readonly start: (endpoint: routing.IEndpoint) => engineCall.EngineCall | undefined;
+  /** The request is not sent to a second engine, though one may have been requested. */
+  readonly onWithdrawn: () => void;
   /** Receives the result: the call that is used, and the other one with its end, undefined if it was cancelled. */
   readonly onSettled: (
     winner: engineCall.EngineCall,
@@ -46,11 +48,12 @@
       firstEnd.then(() => undefined),
       this.steps.requestEngine(),
     ]);
-    if (endpoint === undefined) {
+    const second = endpoint && this.steps.start(endpoint);
+    if (second === undefined) {
+      this.steps.onWithdrawn();
       await firstEnd;
       return first;
     }
-    const second = this.steps.start(endpoint);
     const secondEnd = endOf(second);
     const ended = await Promise.race([
       firstEnd.then((end) => ({ call: first, end, other: second, otherEnd: secondEnd })),
--- a/src/gateway/EngineCalls.ts
+++ b/src/gateway/EngineCalls.ts
@@ -82,15 +82,28 @@
     planId: string,
     delay: commonTypes.Millis,
   ): Promise<engineCall.EngineCall> {
-    const { planner, clock, budget, metrics } = this.deps;
+    const { planner, clock, metrics } = this.deps;
+    let mayHoldEngine = false;
     const race = new callRace.CallRace(clock, {
-      requestEngine: async () =>
-        this.mayHedge && budget.take() ? planner.hedge(planId) : undefined,
+      requestEngine: async () => {
+        mayHoldEngine = this.mayHedge;
+        const endpoint = mayHoldEngine ? await planner.hedge(planId) : undefined;
+        mayHoldEngine = endpoint !== undefined;
+        return endpoint;
+      },
       start: (endpoint) => {
+        if (!this.mayStart(endpoint)) {
+          return undefined;
+        }
         metrics.count('retry', { reason: 'hedged' });
         this.owner.log('hedged', { endpoint: endpoint.id, first: first.endpoint.id });
         return this.start(endpoint, inputs, `${planId}/second`);
       },
+      onWithdrawn: () => {
+        if (mayHoldEngine) {
+          planner.settleHedge(planId, first.endpoint.id);
+        }
+      },
       onSettled: (winner, loser, loserEnd) => {
         this.recordLoser(loser, loserEnd);
         planner.settleHedge(planId, winner.endpoint.id);
@@ -107,6 +120,12 @@
     return !isFinished && isRepeatable && hasAttempt && this.owner.mayStillHedge();
   }
 
+  /** Whether a second engine may still get the request; draws on the retry budget only if it does. */
+  private mayStart(endpoint: routing.IEndpoint): boolean {
+    const { caller, budget } = this.deps;
+    return this.mayHedge && caller.isOpen(endpoint) && budget.take();
+  }
+
   private recordLoser(loser: engineCall.EngineCall, end: callRace.CallEnd | undefined): void {
     this.open.delete(loser);
     const isNotRun =
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -307,6 +307,9 @@
       }
       const attempt = await this.relayCall(call, started, () => isQuarantined);
       return { endpoint: call.endpoint, attempt };
+    } catch (err) {
+      this.calls.cancelAll();
+      throw err;
     } finally {
       subscription.dispose();
       this.calls.end(call);
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -52,10 +52,10 @@
   }
 }
 
+type Reply = types.IEndpointAnswer | types.EndpointCallError;
+
 /** Decides how the fake endpoint responds to a call; `silent` leaves the call open. */
-type ReplyFn = (
-  call: types.IEndpointCall,
-) => types.IEndpointAnswer | types.EndpointCallError | Promise<types.EndpointCallError> | 'silent';
+type ReplyFn = (call: types.IEndpointCall) => Reply | Promise<Reply> | 'silent';
 
 function answerOf(
   status: number,
@@ -151,6 +151,8 @@
   let gateway: gateways.Gateway;
   let calls: types.IEndpointCall[];
   let cancelCount: number;
+  /** Endpoints of the cancelled calls. */
+  let cancelled: Set<string>;
   let permits: FakePermits;
   let crashes: blameTable.BlameTable;
   let streams: streamVersions.StreamVersions;
@@ -165,6 +167,11 @@
   let reply: ReplyFn;
   let plans: coordination.IPlanRequest[];
   let planOutcomes: coordination.PlanOutcome[];
+  /** Answer to a request for a second engine, and what the planner was told of each. */
+  let secondEngine: routing.IEndpoint | undefined | Promise<routing.IEndpoint | undefined>;
+  let hedges: string[];
+  let budget: retryBudget.RetryBudget;
+  let configVersion: number;
   let directory: endpointDirectory.EndpointDirectory;
   const endpoint = (id: string): routing.IEndpoint => ({
     id,
@@ -183,6 +190,10 @@
     plans = [];
     planOutcomes = [];
     cancelCount = 0;
+    cancelled = new Set();
+    configVersion = 1;
+    secondEngine = undefined;
+    hedges = [];
     const caller: types.IEndpointCaller = {
       hasLostPath: async () => false,
       isPathInDoubt: () => false,
@@ -193,18 +204,19 @@
         let rejectAnswer: (err: Error) => void = () => {};
         const answer = new Promise<types.IEndpointAnswer>((resolve, reject) => {
           rejectAnswer = reject;
-          if (result instanceof types.EndpointCallError) {
-            reject(result);
-          } else if (result instanceof Promise) {
-            void result.then(reject);
+          const settle = (value: Reply): void =>
+            value instanceof types.EndpointCallError ? reject(value) : resolve(value);
+          if (result instanceof Promise) {
+            void result.then(settle);
           } else if (result !== 'silent') {
-            resolve(result);
+            settle(result);
           }
         });
         return {
           answer,
           cancel: () => {
             cancelCount += 1;
+            cancelled.add(call.endpoint.id);
             rejectAnswer(new types.EndpointCallError('cancelled', true));
           },
         };
@@ -216,8 +228,11 @@
         return planOutcomes.shift() as coordination.PlanOutcome;
       },
       reassign: async () => planOutcomes.shift() as coordination.PlanOutcome,
-      hedge: () => Promise.resolve(undefined),
-      settleHedge: () => {},
+      hedge: async (planId) => {
+        hedges.push(`ask ${planId}`);
+        return secondEngine;
+      },
+      settleHedge: (planId, winner) => hedges.push(`${planId} ${winner}`),
       cancel: (planId) => cancelledPlans.push(planId),
       markStarted: (planId, isSuccess) => startedPlans.push(`${planId} ${isSuccess}`),
       markEnded: (planId, failed) => failedEngines.push(failed),
@@ -235,6 +250,7 @@
     blameLink = new fakeBlameLink.FakeBlameLink();
     streams = new streamVersions.StreamVersions(clock);
     testRooms = rooms.makeRooms(clock, directory);
+    budget = new retryBudget.RetryBudget(limits, clock, () => 1);
     gateway = new gateways.Gateway({
       clock,
       random,
@@ -253,15 +269,21 @@
       }),
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       streams,
-      budget: new retryBudget.RetryBudget(limits, clock, () => 1),
+      budget,
       logService: log,
       metrics,
       entryVmCount: () => 1,
       isConfigurationCurrent: () => isConfirmed,
     });
     directory.replace({ revision: 1, endpoints: [endpoint('e1'), endpoint('e2'), endpoint('e3')] });
+    configureChat({});
+  });
+
+  /** Puts a configuration in force whose route for streams differs by `change`. */
+  function configureChat(change: Partial<routing.IRoute>): void {
+    configVersion += 1;
     gateway.configure({
-      version: 2,
+      version: configVersion,
       routes: [
         ROUTE,
         { ...ROUTE, name: 'write', prefix: '/write/', kind: 'unsafe' },
@@ -272,6 +294,7 @@
           kind: 'stream',
           resumable: true,
           targets: [{ service: 'm', weight: 1 }],
+          ...change,
         },
       ],
       services: new Map([
@@ -280,7 +303,7 @@
       ]),
       limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
     });
-  });
+  }
 
   /** Sends a request and advances the clock by `waitMs`. */
   async function request(
@@ -836,6 +859,97 @@
     });
   });
 
+  describe('with a second engine for late requests', () => {
+    const engine = (id: string): routing.IEndpoint => ({ ...endpoint(id), service: 'm' });
+
+    function offer(...ids: string[]): void {
+      planOutcomes = ids.map((id) => ({
+        kind: 'ready',
+        endpoint: engine(id),
+        inputs: ['h'],
+        hedgeAfter: 100,
+      }));
+    }
+
+    /** Endpoints that were called, and which response the caller got. */
+    function seen(responder: FakeResponder): readonly string[] {
+      return [...calls.map((call) => call.endpoint.id), responder.outcome];
+    }
+
+    beforeEach(() => {
+      offer('m1');
+      secondEngine = engine('m2');
+      reply = ({ endpoint: { id } }) =>
+        id === 'm2' ? answerOf(200, `id: 1\ndata: ${id}\n\n`) : 'silent';
+    });
+
+    test('sends a late request there too, and passes on one answer', async () => {
+      const responder = await request('/chat/x', 99);
+      expect(seen(responder)).toEqual(['m1', 'none']);
+      await clock.advance(1);
+      expect(seen(responder)).toEqual(['m1', 'm2', 'whole']);
+      expect(responder.text).toBe('id: 1\ndata: m2\n\n');
+      expect(cancelled).toContain('m1');
+      expect([calls[1]?.inputs, hedges]).toEqual([['h'], ['ask r#1', 'r#1 m2']]);
+      expect(failedEngines).toEqual([undefined]);
+      expect(gateway.openRequests).toBe(0);
+    });
+
+    test('asks for none without a time to wait', async () => {
+      planOutcomes = [{ kind: 'ready', endpoint: engine('m1'), inputs: [] }];
+      expect(seen(await request('/chat/x', 900))).toEqual(['m1', 'none']);
+      expect(hedges).toEqual([]);
+    });
+
+    test.each([
+      ['that may not be repeated', { resumable: false }],
+      ['that may run once', { maxExecutions: 1 }],
+    ])('sends a request %s to one engine only', async (_, change) => {
+      configureChat(change);
+      expect(seen(await request('/chat/x', 900))).toEqual(['m1', 'none']);
+      expect(hedges).toEqual([]);
+    });
+
+    test('cancels both calls when the caller leaves', async () => {
+      reply = () => 'silent';
+      const responder = await request('/chat/x', 200);
+      responder.disconnect();
+      await clock.advance(0);
+      expect([...cancelled].sort()).toEqual(['m1', 'm2']);
+      expect([calls.length, gateway.openRequests]).toEqual([2, 0]);
+      expect(cancelledPlans).toEqual(['r#1']);
+    });
+
+    test.each<[string, (responder: FakeResponder) => void]>([
+      ['the caller has left', (responder) => responder.disconnect()],
+      ['its zone was closed', () => directory.closeZones({ revision: 1, zones: ['b'] })],
+    ])('sends nothing there where %s meanwhile', async (_, change) => {
+      const second = { ...engine('m2'), availabilityZone: 'b' };
+      secondEngine = clock.sleep(150).then(() => second);
+      change(await request('/chat/x', 120));
+      await clock.advance(500);
+      expect(calls.map((call) => call.endpoint.id)).toEqual(['m1']);
+    });
+
+    test('gives back an engine that is known only after the answer', async () => {
+      secondEngine = clock.sleep(200).then(() => engine('m2'));
+      reply = async ({ endpoint: { id } }) => {
+        await clock.sleep(150);
+        return answerOf(200, `id: 1\ndata: ${id}\n\n`);
+      };
+      expect(seen(await request('/chat/x', 500))).toEqual(['m1', 'whole']);
+      expect(hedges).toEqual(['ask r#1', 'r#1 m1']);
+    });
+
+    test('leaves the retry budget to retries where it gets no engine', async () => {
+      secondEngine = undefined;
+      const take = vitest.vi.spyOn(budget, 'take');
+      await request('/chat/x', 900);
+      expect(hedges).toEqual(['ask r#1']);
+      expect(take).not.toHaveBeenCalled();
+    });
+  });
+
   test('ignores a configuration that is older than the one in force', () => {
     const limits = { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 };
     gateway.configure({ version: 1, routes: [], services: new Map(), limits });
