Attribute failures and crashes to the right one of two engines

- The engine that lost by failing was reported to nobody: no ejection, no check for a crash.
If the second engine won and then broke, the crash was looked for at the first one; the second call was no suspect anywhere.
A request that crashes engines was therefore known for one crash where it had caused two.
- After two failures only one of the engines was avoided, so that the request could be sent to the other one again.
- A request that was on trial after a quarantine could get a second engine, where a trial may cost one.
- A first failure waited for the end of the other call before anybody was told.

Now the race is over once a call fails: the other one goes on alone, and `hedge-end` names the engine that failed and how, by the same rules as `again`. CrashAttribution holds the second call as an attempt of its own and renames it if it wins. Calls that this VM cancelled (caller left, quarantine, outrun) are held against no engine.

--- a/src/blame/CrashAttribution.ts
+++ b/src/blame/CrashAttribution.ts
@@ -78,10 +78,22 @@
       startedAt: undefined,
       proofTimer: undefined,
     };
-    this.attempts.set(id, attempt);
-    const others = this.attemptsByEndpoint.get(endpoint.id) ?? new Map<string, IAttempt>();
-    others.set(id, attempt);
-    this.attemptsByEndpoint.set(endpoint.id, others);
+    this.add(attempt);
+  }
+
+  /** Continues an attempt under the id of another one, which it replaces; an unknown id is ignored. */
+  rename(id: string, newId: string): void {
+    const attempt = this.attempts.get(id);
+    if (attempt === undefined) {
+      return;
+    }
+    [id, newId].forEach((each) => this.remove(each));
+    const renamed = { ...attempt, id: newId };
+    this.add(renamed);
+    const suspects = this.incidents.get(attempt.endpoint.id)?.suspects;
+    if (suspects?.delete(id) === true) {
+      suspects.set(newId, renamed);
+    }
   }
 
   /** Records that a successful answer has begun; unknown ids are ignored. */
@@ -123,6 +135,14 @@
     [...this.attempts.keys()].forEach((id) => this.remove(id));
   }
 
+  private add(attempt: IAttempt): void {
+    const { id, endpoint } = attempt;
+    this.attempts.set(id, attempt);
+    const others = this.attemptsByEndpoint.get(endpoint.id) ?? new Map<string, IAttempt>();
+    others.set(id, attempt);
+    this.attemptsByEndpoint.set(endpoint.id, others);
+  }
+
   private remove(id: string): void {
     const attempt = this.attempts.get(id);
     if (attempt === undefined) {
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -301,13 +301,30 @@
   /** @inheritdoc */
   hedge(planId: string): Promise<routing.IEndpoint | undefined> {
     const plan = this.plans.get(planId);
-    const mayHedge = plan?.results !== undefined && !this.hasExpiringResults(plan);
-    return Promise.resolve(mayHedge ? this.hedges?.request(planId) : undefined);
+    const mayHedge =
+      plan?.results !== undefined &&
+      !this.hasExpiringResults(plan) &&
+      !this.quarantine.isSuspect(plan.req);
+    const endpoint = mayHedge ? this.hedges?.request(planId) : undefined;
+    if (plan !== undefined && endpoint !== undefined) {
+      this.quarantine.recordSecond(plan.req, endpoint);
+    }
+    return Promise.resolve(endpoint);
   }
 
   /** @inheritdoc */
-  settleHedge(planId: string, winner: string): void {
-    this.hedges?.settle(planId, winner);
+  settleHedge(planId: string, { winner, failed }: types.IHedgeEnd): void {
+    const loser = this.hedges?.settle(planId, winner) ?? 'second';
+    const plan = this.plans.get(planId);
+    if (failed !== undefined && plan !== undefined) {
+      plan.avoid = [...plan.avoid, failed.endpoint];
+    }
+    if (failed !== undefined && failed.failure !== 'limited') {
+      this.recordFailure(planId, failed.endpoint);
+    }
+    const notBroken = failed === undefined ? 'left' : 'not-run';
+    const end = failed?.failure === 'broken' ? 'broken' : notBroken;
+    this.quarantine.recordRaceEnded(planId, loser, end, failed?.endpoint);
   }
 
   /** @inheritdoc */
--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -339,9 +339,9 @@
   }
 
   /** @inheritdoc */
-  settleHedge(planId: string, winner: string): void {
+  settleHedge(planId: string, end: types.IHedgeEnd): void {
     this.hedgeRequests.resolve(planId, undefined);
-    this.send({ kind: 'hedge-end', planId, winner });
+    this.send({ kind: 'hedge-end', planId, end });
   }
 
   /** @inheritdoc */
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -374,7 +374,7 @@
         void this.sendHedge(session, message.planId);
         break;
       case 'hedge-end':
-        planner.settleHedge(message.planId, message.winner);
+        planner.settleHedge(message.planId, message.end);
         break;
       case 'cancel':
         session.plans.delete(message.planId);
--- a/src/coordination/PlanHedges.ts
+++ b/src/coordination/PlanHedges.ts
@@ -85,11 +85,14 @@
     return hedge.second;
   }
 
-  /** Records which engine answered first; the other one no longer counts as busy with the request. */
-  settle(planId: string, winner: string): void {
+  /**
+   * Records which engine has the request from now on; the other one no longer counts as busy with it. Returns which one that
+   * is; undefined if there was no second engine.
+   */
+  settle(planId: string, winner: string): 'first' | 'second' | undefined {
     const hedge = this.open.get(planId);
     if (hedge?.second === undefined) {
-      return;
+      return undefined;
     }
     const { placer, second } = hedge;
     const isSecond = second.id === winner;
@@ -98,6 +101,7 @@
     if (!isSecond) {
       hedge.second = undefined;
     }
+    return isSecond ? 'first' : 'second';
   }
 
   /** Records that the request has its first token, from whichever engine. */
--- a/src/coordination/PlanQuarantine.ts
+++ b/src/coordination/PlanQuarantine.ts
@@ -70,6 +70,30 @@
     this.attribution.recordPlaced(req.planId, engine, PlanQuarantine.traitsOf(req));
   }
 
+  /** Whether a trait of a plan is quarantined, or was until lately, so that the plan may crash its engine. */
+  isSuspect(req: types.IPlanRequest): boolean {
+    return this.deps.blameTable.verdictOf(PlanQuarantine.traitsOf(req)) !== undefined;
+  }
+
+  /** Records that a plan is also sent to a second engine. */
+  recordSecond(req: types.IPlanRequest, engine: routing.IEndpoint): void {
+    this.attribution.recordPlaced(secondIdOf(req.planId), engine, PlanQuarantine.traitsOf(req));
+  }
+
+  /** Records how the attempt at one of two engines of a plan ended; the other one is the attempt of the plan from now on. */
+  recordRaceEnded(
+    planId: string,
+    loser: 'first' | 'second',
+    end: crashAttribution.AttemptEnd,
+    engineId: string | undefined,
+  ): void {
+    const loserId = loser === 'first' ? planId : secondIdOf(planId);
+    this.attribution.recordEnded(loserId, end, engineId);
+    if (loser === 'first') {
+      this.attribution.rename(secondIdOf(planId), planId);
+    }
+  }
+
   /** Records that the engine of a plan has begun a successful answer. */
   recordStarted(planId: string): void {
     this.attribution.recordStarted(planId);
@@ -78,6 +102,7 @@
   /** Records how the attempt of a plan at an engine ended. */
   recordEnded(planId: string, end: crashAttribution.AttemptEnd, engineId?: string): void {
     this.attribution.recordEnded(planId, end, engineId);
+    this.attribution.recordEnded(secondIdOf(planId), 'left');
     if (end !== 'not-run') {
       this.gate.release(planId);
     }
@@ -93,3 +118,7 @@
     return traits.traitsOf(req.service, req.fingerprint ?? req.requestId, req.prompt);
   }
 }
+
+function secondIdOf(planId: string): string {
+  return `${planId}/second`;
+}
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -79,6 +79,14 @@
  */
 export type EngineFailure = 'limited' | 'not-run' | 'broken';
 
+/** End of a race of two engines for the answer to a request. */
+export interface IHedgeEnd {
+  /** Id of the engine whose call goes on. */
+  readonly winner: string;
+  /** The other one, if it failed; absent if its call was cancelled. */
+  readonly failed?: { readonly endpoint: string; readonly failure: EngineFailure } | undefined;
+}
+
 /** Decision of the coordinator on a plan request. */
 export type PlanOutcome =
   | {
@@ -102,8 +110,8 @@
    * if it gets none. Followed by `settleHedge` if it gets one.
    */
   hedge(planId: string): Promise<routing.IEndpoint | undefined>;
-  /** Records which of two engines, by its id, answered first; an empty id if neither did. */
-  settleHedge(planId: string, winner: string): void;
+  /** Records which of two engines has the request from now on; precedes `markStarted`. */
+  settleHedge(planId: string, end: IHedgeEnd): void;
   /** Cancels a plan whose caller has left or that is no longer needed. */
   cancel(planId: string): void;
   /**
@@ -167,8 +175,8 @@
   | { readonly kind: 'cancel'; readonly planId: string }
   /** The engine of the plan has not answered for its `hedgeAfter`: requests a second one. */
   | { readonly kind: 'hedge'; readonly planId: string }
-  /** One of two engines has answered first; `winner` is its id, empty if neither did. */
-  | { readonly kind: 'hedge-end'; readonly planId: string; readonly winner: string }
+  /** One of two engines has the request from now on. */
+  | { readonly kind: 'hedge-end'; readonly planId: string; readonly end: IHedgeEnd }
   /** The engine has begun its answer; `isError` if that is an error response, absent means false. */
   | { readonly kind: 'started'; readonly planId: string; readonly isError?: boolean }
   | { readonly kind: 'ended'; readonly planId: string; readonly failed?: string }
--- a/src/gateway/CallRace.ts
+++ b/src/gateway/CallRace.ts
@@ -16,17 +16,20 @@
   readonly start: (endpoint: routing.IEndpoint) => engineCall.EngineCall | undefined;
   /** The request is not sent to a second engine, though one may have been requested. */
   readonly onWithdrawn: () => void;
-  /** Receives the result: the call that is used, and the other one with its end, undefined if it was cancelled. */
+  /**
+   * Receives the call that goes on, and the other one with its end, undefined if it was cancelled. The race ends once it
+   * resolves.
+   */
   readonly onSettled: (
     winner: engineCall.EngineCall,
     loser: engineCall.EngineCall,
     loserEnd: CallEnd | undefined,
-  ) => void;
+  ) => Promise<void>;
 }
 
 /**
  * Sends a request to a second engine if the first one has not answered after a delay, and uses the call that is answered
- * first. A failed call loses to the other one; of two failed calls the first one is used.
+ * first. The race is over once one call fails: the other one goes on alone.
  */
 export class CallRace {
   /** `clock` measures the delay. */
@@ -35,7 +38,7 @@
     private readonly steps: ICallRaceSteps,
   ) {}
 
-  /** Resolves with the call to use, once its answer is there or has failed. */
+  /** Resolves with the call to use; its answer may be still to come. */
   async run(
     first: engineCall.EngineCall,
     delay: commonTypes.Millis,
@@ -56,30 +59,16 @@
     }
     const secondEnd = endOf(second);
     const ended = await Promise.race([
-      firstEnd.then((end) => ({ call: first, end, other: second, otherEnd: secondEnd })),
-      secondEnd.then((end) => ({ call: second, end, other: first, otherEnd: firstEnd })),
+      firstEnd.then((end) => ({ call: first, end, other: second })),
+      secondEnd.then((end) => ({ call: second, end, other: first })),
     ]);
-    if (isUsable(ended.end)) {
-      this.settle(ended.call, ended.other, undefined);
-      return ended.call;
-    }
-    const otherEnd = await ended.otherEnd;
-    if (isUsable(otherEnd)) {
-      this.settle(ended.other, ended.call, ended.end);
-      return ended.other;
-    }
-    this.settle(first, second, ended.call === second ? ended.end : otherEnd);
-    return first;
-  }
-
-  private settle(
-    winner: engineCall.EngineCall,
-    loser: engineCall.EngineCall,
-    loserEnd: CallEnd | undefined,
-  ): void {
+    const [winner, loser, loserEnd] = isUsable(ended.end)
+      ? [ended.call, ended.other, undefined]
+      : [ended.other, ended.call, ended.call.isCancelled ? undefined : ended.end];
     loser.cancel();
     loser.dispose();
-    this.steps.onSettled(winner, loser, loserEnd);
+    await this.steps.onSettled(winner, loser, loserEnd);
+    return winner;
   }
 
   private isAnsweredWithin(
--- a/src/gateway/EngineCall.ts
+++ b/src/gateway/EngineCall.ts
@@ -20,6 +20,8 @@
 
   private isDisposed = false;
 
+  private cancelled = false;
+
   /** Sends the call; `roomId` names its room at a brittle engine. */
   constructor(
     private readonly scope: requestScope.RequestScope,
@@ -29,7 +31,7 @@
   ) {
     this.call = caller.send(endpointCall);
     this.placed = rooms.recordPlaced(roomId, endpointCall.endpoint.id);
-    this.unregister = scope.onFinish(() => this.call.cancel());
+    this.unregister = scope.onFinish(() => this.cancel());
     this.scope.attemptCount += 1;
     this.scope.attemptsInFlight += 1;
   }
@@ -44,8 +46,14 @@
     return this.call.answer;
   }
 
+  /** Whether the call was ended by this VM, so that its failure says nothing about the engine. */
+  get isCancelled(): boolean {
+    return this.cancelled;
+  }
+
   /** Destroys the connection, which makes the engine abandon the request. */
   cancel(): void {
+    this.cancelled = true;
     this.call.cancel();
   }
 
--- a/src/gateway/EngineCalls.ts
+++ b/src/gateway/EngineCalls.ts
@@ -101,12 +101,14 @@
       },
       onWithdrawn: () => {
         if (mayHoldEngine) {
-          planner.settleHedge(planId, first.endpoint.id);
+          planner.settleHedge(planId, { winner: first.endpoint.id });
         }
       },
-      onSettled: (winner, loser, loserEnd) => {
+      onSettled: async (winner, loser, loserEnd) => {
         this.recordLoser(loser, loserEnd);
-        planner.settleHedge(planId, winner.endpoint.id);
+        const failure = loserEnd && (await this.failureOf(loser, loserEnd));
+        const failed = failure && { endpoint: loser.endpoint.id, failure };
+        planner.settleHedge(planId, { winner: winner.endpoint.id, ...(failed && { failed }) });
       },
     });
     return race.run(first, delay);
@@ -128,16 +130,46 @@
 
   private recordLoser(loser: engineCall.EngineCall, end: callRace.CallEnd | undefined): void {
     this.open.delete(loser);
-    const isNotRun =
-      end !== undefined &&
-      (end.kind === 'answered'
-        ? end.answer.isNotRun
-        : end.err instanceof types.EndpointCallError && !end.err.sent);
-    if (isNotRun) {
+    if (end !== undefined && isNotRun(end)) {
       this.recordNotRun();
     } else {
       this.scope.mayHaveRun = true;
     }
-    this.owner.log('sending-ended', { endpoint: loser.endpoint.id, end: end?.kind ?? 'outrun' });
+    const unfinished = this.owner.mayStillHedge() ? 'outrun' : 'cancelled';
+    this.owner.log('sending-ended', {
+      endpoint: loser.endpoint.id,
+      end: end?.kind ?? unfinished,
+      ...(end?.kind === 'failed' && { reason: end.err.message }),
+    });
   }
+
+  /** What the end of a call says about its engine; undefined if nothing. */
+  private async failureOf(
+    { endpoint }: engineCall.EngineCall,
+    end: callRace.CallEnd,
+  ): Promise<coordination.EngineFailure | undefined> {
+    const { caller, metrics } = this.deps;
+    if (isNotRun(end)) {
+      const isHealthy =
+        end.kind === 'answered'
+          ? end.answer.namesRateLimit
+          : caller.isPathInDoubt(endpoint) || !caller.isOpen(endpoint);
+      const lacksInputs =
+        end.kind === 'answered' && end.answer.status === 409 && !end.answer.isWrongEndpoint;
+      const notRun = isHealthy ? 'limited' : 'not-run';
+      return lacksInputs ? undefined : notRun;
+    }
+    if (end.kind === 'answered' && end.answer.isGenuine) {
+      return undefined;
+    }
+    metrics.count('answer_lost', { kind: 'engine' });
+    return (await caller.hasLostPath(endpoint)) ? undefined : 'broken';
+  }
+}
+
+/** Whether the engine did not execute the request of a call that has ended. */
+function isNotRun(end: callRace.CallEnd): boolean {
+  return end.kind === 'answered'
+    ? end.answer.isNotRun
+    : end.err instanceof types.EndpointCallError && !end.err.sent;
 }
--- a/src/gateway/FallbackPlanner.ts
+++ b/src/gateway/FallbackPlanner.ts
@@ -137,8 +137,8 @@
   }
 
   /** @inheritdoc */
-  settleHedge(planId: string, winner: string): void {
-    this.plannerByPlan.get(planId)?.settleHedge(planId, winner);
+  settleHedge(planId: string, end: coordination.IHedgeEnd): void {
+    this.plannerByPlan.get(planId)?.settleHedge(planId, end);
   }
 
   /** @inheritdoc */
