Leave permits and failed engines out of second attempts

With rate limits that allow no request now, the next permit went to a second engine while plans without any engine waited for it in the placement queue; and where only ejected or stalled engines were left, a late request got one of those.

A second engine is refused while a plan of the service waits for an engine, and comes from healthy engines only.

Tests that fail without it: "leave permits to first attempts that wait for them" (CoordinatorHedges.test.ts: e2 for undefined), "are not chosen among engines that have failed" (PlanHedges.test.ts: b1 for undefined); with it the 19 tests of both files and PlacementQueue.test.ts pass.

--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -304,7 +304,8 @@
     const mayHedge =
       plan?.results !== undefined &&
       !this.hasExpiringResults(plan) &&
-      !this.quarantine.isSuspect(plan.req);
+      !this.quarantine.isSuspect(plan.req) &&
+      !this.placementQueue.hasService(plan.req.service);
     const endpoint = mayHedge ? this.hedges?.request(planId) : undefined;
     if (plan !== undefined && endpoint !== undefined) {
       this.quarantine.recordSecond(plan.req, endpoint);
--- a/src/coordination/CoordinatorHedges.test.ts
+++ b/src/coordination/CoordinatorHedges.test.ts
@@ -4,7 +4,6 @@
 import * as recordingLog from '../common/testing/RecordingLogService.js';
 import * as recordingMetrics from '../common/testing/RecordingMetricsService.js';
 import type * as hedging from '../hedging/Types.js';
-import * as unlimitedRateLimiter from '../ratelimit/testing/UnlimitedRateLimiter.js';
 import * as endpointDirectory from '../routing/EndpointDirectory.js';
 import type * as routing from '../routing/Types.js';
 import * as coordinators from './Coordinator.js';
@@ -24,6 +23,8 @@
 
 describe('Coordinator, with second engines', () => {
   let clock: manualClock.ManualClock;
+  /** Whether the engines' rate limits allow no request now. */
+  let isLimited: boolean;
   let crashes: blame.IBlameFixture;
   let directory: endpointDirectory.EndpointDirectory;
   let coordinator: coordinators.Coordinator;
@@ -38,6 +39,7 @@
   }
 
   beforeEach(() => {
+    isLimited = false;
     clock = new manualClock.ManualClock();
     crashes = blame.makeBlame(clock);
     directory = new endpointDirectory.EndpointDirectory();
@@ -46,7 +48,11 @@
       caller: { run: async () => [], free: async () => true },
       directory,
       ...crashes,
-      rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
+      rateLimiter: {
+        rateOf: () => undefined,
+        delayOf: () => (isLimited ? 50 : 0),
+        take: () => !isLimited,
+      },
       hedgePolicy: ALWAYS,
       logService: new recordingLog.RecordingLogService(),
       metrics: new recordingMetrics.RecordingMetricsService(),
@@ -137,6 +143,16 @@
     expect(await next).toMatchObject({ kind: 'refused', reason: 'no-endpoint' });
   });
 
+  test('leave permits to first attempts that wait for them', async () => {
+    await plan('r');
+    isLimited = true;
+    void plan('waiting');
+    isLimited = false;
+    expect(await coordinator.hedge('r')).toBeUndefined();
+    await clock.advance(DECIDED_MS);
+    expect(await coordinator.hedge('r')).toBeDefined();
+  });
+
   test('put no second engine at risk for a request that is on trial', async () => {
     for (const id of ['c1', 'c2']) {
       const at = clock.monotonic();
--- a/src/coordination/PlacementQueue.ts
+++ b/src/coordination/PlacementQueue.ts
@@ -36,7 +36,7 @@
 
   /** Tries the plans of a service soon, because an engine may have room. */
   retry(service: string): void {
-    if ([...this.plans.values()].some((waiting) => waiting.service === service)) {
+    if (this.hasService(service)) {
       this.schedule(service, 0);
     }
   }
@@ -65,6 +65,11 @@
     );
   }
 
+  /** Whether a plan of the service waits. */
+  hasService(service: string): boolean {
+    return [...this.plans.values()].some((waiting) => waiting.service === service);
+  }
+
   /** Removes a plan; unknown ids are ignored. */
   delete(planId: string): void {
     this.plans.delete(planId);
--- a/src/coordination/PlanHedges.test.ts
+++ b/src/coordination/PlanHedges.test.ts
@@ -115,6 +115,14 @@
     expect(second).toBeDefined();
   });
 
+  test('are not chosen among engines that have failed', async () => {
+    await serve(15, 3);
+    const { engine } = place('late');
+    ['a1', 'b1', 'c1'].filter((id) => id !== engine).forEach((id) => placer.recordFailure(id));
+    expect(hedges.request('late')).toBeUndefined();
+    expect(metrics.counters.get('hedge{outcome=no-engine}')).toBe(1);
+  });
+
   test('are refused where first requests need the engines', async () => {
     await serve(15, 3);
     Array.from({ length: 10 }, (_, index) => place(`busy-${index}`));
--- a/src/coordination/PlanHedges.ts
+++ b/src/coordination/PlanHedges.ts
@@ -139,6 +139,7 @@
       planId: secondIdOf(planId),
       // Streams of two versions do not fit together.
       version: first.version ?? '',
+      needsHealthy: true,
       avoid: [...placement.avoid, first.id, ...lateZone],
     });
   }
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -65,6 +65,8 @@
   readonly avoid: readonly string[];
   /** Software version that the engine must have; undefined for any. */
   readonly version?: string | undefined;
+  /** Whether ejected and stalled engines are not chosen, even if there are no others. */
+  readonly needsHealthy?: boolean;
 }
 
 /**
@@ -126,7 +128,8 @@
     const healthy = engines.filter(
       (engine) => engine.ejectedUntil <= now && !engine.isStalled(now),
     );
-    const chosen = this.findCheapest(healthy.length > 0 ? healthy : engines, req);
+    const mayChooseAny = healthy.length === 0 && req.needsHealthy !== true;
+    const chosen = this.findCheapest(mayChooseAny ? engines : healthy, req);
     if (chosen === undefined || !this.rateLimiter.take(chosen.endpoint.id)) {
       return undefined;
     }
