Let a race not hide that an engine has stopped

An engine that starts no request for 1.5 s is stalled and gets no more. Each request that a second engine took from it counted as progress, so that a frozen engine with hedged requests went on getting first ones.

The test "do not hide that the first engine starts nothing" (PlanHedges.test.ts) fails without it: 'a1', the engine that had started nothing for 1.6 s, for 'b1'.

--- a/src/coordination/PlanHedges.test.ts
+++ b/src/coordination/PlanHedges.test.ts
@@ -115,6 +115,19 @@
     expect(second).toBeDefined();
   });
 
+  test('do not hide that the first engine starts nothing', async () => {
+    placer.updateEndpoints([endpointOf('a1', 'a'), endpointOf('b1', 'b')], LIMITS);
+    await serve(20, 2);
+    const ids = Array.from({ length: 4 }, (_, index) => `late-${index}`);
+    const waiting = ids.filter((planId) => place(planId).engine === 'a1');
+    ids.filter((planId) => !waiting.includes(planId)).forEach((id) => placer.removeRequest(id));
+    await clock.advance(1000);
+    expect([waiting.length, hedges.request(waiting[0] ?? '')?.id]).toEqual([2, 'b1']);
+    hedges.settle(waiting[0] ?? '', 'b1');
+    await clock.advance(600);
+    expect(place('next').engine).toBe('b1');
+  });
+
   test('are not chosen among engines that have failed', async () => {
     await serve(15, 3);
     const { engine } = place('late');
--- a/src/coordination/PlanHedges.ts
+++ b/src/coordination/PlanHedges.ts
@@ -97,7 +97,7 @@
     const { placer, second } = hedge;
     const isSecond = second.id === winner;
     this.deps.metrics.count('hedge_won', { by: isSecond ? 'second' : 'first' });
-    placer.removeRequest(isSecond ? planId : secondIdOf(planId));
+    placer.removeOutrun(isSecond ? planId : secondIdOf(planId));
     if (!isSecond) {
       hedge.second = undefined;
     }
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -206,10 +206,21 @@
 
   /** Removes a request from its engine; unknown plan ids are ignored. */
   removeRequest(planId: string): void {
+    this.remove(planId, ({ engine, unreadTokens }) =>
+      engine.removeWaiting(unreadTokens, this.clock.monotonic()),
+    );
+  }
+
+  /** Removes a request from an engine that another one has outrun: a stalled engine stays one. */
+  removeOutrun(planId: string): void {
+    this.remove(planId, ({ engine, unreadTokens }) => engine.removeOutrun(unreadTokens));
+  }
+
+  private remove(planId: string, removeWaiting: (placed: IPlacedRequest) => void): void {
     const placed = this.placedRequests.get(planId);
     if (placed !== undefined) {
       if (!placed.hasStarted) {
-        placed.engine.removeWaiting(placed.unreadTokens, this.clock.monotonic());
+        removeWaiting(placed);
       }
       this.placedRequests.delete(planId);
       placed.engine.removeRequest();
--- a/src/placing/EngineState.ts
+++ b/src/placing/EngineState.ts
@@ -82,6 +82,15 @@
     this.lastProgressAt = this.waitingCount > 0 ? now : undefined;
   }
 
+  /** Removes a waiting request that another engine answered first, which is no progress of this one. */
+  removeOutrun(tokens: number): void {
+    this.unreadTokens -= tokens;
+    this.waitingCount -= 1;
+    if (this.waitingCount === 0) {
+      this.lastProgressAt = undefined;
+    }
+  }
+
   /** Removes a request from the placed ones, whether or not it had started. */
   removeRequest(): void {
     this.placedCount -= 1;
