Pass errors of a request on at once, also during a race

An engine that answers 400 to a late request answers what any other would, but the race waited for the second engine, which a request without a race does not.

The test "uses an error of the request itself at once" fails without the change ('second' for 'first'); with it CallRace.test.ts passes, 13 of 13. Errors from 500 on still leave the request to the other engine.

--- a/src/gateway/CallRace.test.ts
+++ b/src/gateway/CallRace.test.ts
@@ -138,6 +138,13 @@
     expect(settled).toEqual([`first beats second: ${kind}`]);
   });
 
+  test('uses an error of the request itself at once', async () => {
+    await clock.advance(HEDGE_AFTER_MS);
+    first.respond({ status: 400 });
+    expect((await winner).endpoint.id).toBe('first');
+    expect(second.isCancelled).toBe(true);
+  });
+
   test('goes on with the second call alone where the first fails meanwhile', async () => {
     await clock.advance(HEDGE_AFTER_MS);
     first.fail();
--- a/src/gateway/CallRace.ts
+++ b/src/gateway/CallRace.ts
@@ -92,11 +92,11 @@
   );
 }
 
-/** Whether a call has begun the stream that the caller asked for. */
+/** Whether another engine would give the caller no other answer: a success, or an error of the request itself. */
 function isUsable(end: CallEnd): boolean {
   if (end.kind === 'failed') {
     return false;
   }
   const { isNotRun, isGenuine, status } = end.answer;
-  return !isNotRun && isGenuine && status >= 200 && status < 300;
+  return !isNotRun && isGenuine && status < 500;
 }
