Handle ends of races of sessions that have closed, and test a lost coordinator

The end of a race frees an engine and may name a failed one, like `ended`; a message that waited in the coordinator's queue while its session closed was dropped, so that a following `started` counted for the wrong engine. It is now kept as those are. A question for a second engine is not: its answer could not be sent.

The new test in Feed.test.ts (a coordinator lost while a second engine is asked for, and its successor that knows no race) passes with and without this; the order of messages behind a closed session has no test of its own.

--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -247,6 +247,31 @@
   expect(planned).toMatchObject({ kind: 'refused', reason: 'stage-failed' });
 });
 
+test('a VM gets no second engine from a coordinator that is lost before it answers, nor without one', async () => {
+  const first = await startLeader();
+  const second = await startLeader();
+  let seeds = [first.address];
+  const client = startClient('a', () => seeds);
+  expect(await client.hedge('r#0')).toBeUndefined();
+  await until(() => client.isConnected);
+  const ask = vitest.vi
+    .spyOn(first.coordinator, 'hedge')
+    .mockReturnValue(new Promise<never>(() => {}));
+  const asked = client.hedge('r#1');
+  await until(() => ask.mock.calls.length > 0);
+  seeds = [second.address];
+  first.stop();
+  expect(await asked).toBeUndefined();
+  await until(() => client.isConnected);
+  // The successor knows neither the plan nor the race that its predecessor had granted.
+  const settle = vitest.vi.spyOn(second.coordinator, 'settleHedge');
+  const failed = { endpoint: 'e1', failure: 'broken' } as const;
+  client.settleHedge('r#2', { winner: 'e2', failed });
+  await until(() => settle.mock.calls.length > 0);
+  expect(settle).toHaveBeenCalledWith('r#2', { winner: 'e2', failed });
+  expect(await client.hedge('r#2')).toBeUndefined();
+});
+
 test('a quarantine reaches all VMs, and each new coordinator, and its end does', async () => {
   const first = await startLeader();
   const second = await startLeader();
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -50,6 +50,7 @@
 /** Messages that wait and are still of use after their session was closed. */
 const OUTLIVING_KINDS: ReadonlySet<types.UpMessage['kind']> = new Set([
   'cancel',
+  'hedge-end',
   'started',
   'ended',
   'spare',
