Forget old times to an answer also where none are recorded

Quantiles moved on only when a value was recorded, so that the first requests after a long pause were hedged by times of before it; the histogram's comment promises one to two periods.

"forgets answers after a pause" (HedgePolicy.test.ts) fails without it: 105.1 for undefined; with it it passes.

--- a/src/hedging/HedgePolicy.test.ts
+++ b/src/hedging/HedgePolicy.test.ts
@@ -79,8 +79,12 @@
     workAhead: 100,
   };
 
-  function policyAfter(answers: number, limits = ON): hedgePolicy.HedgePolicy {
-    const policy = new hedgePolicy.HedgePolicy(limits, new manualClock.ManualClock());
+  function policyAfter(
+    answers: number,
+    limits = ON,
+    clock = new manualClock.ManualClock(),
+  ): hedgePolicy.HedgePolicy {
+    const policy = new hedgePolicy.HedgePolicy(limits, clock);
     for (let index = 0; index < answers; index++) {
       policy.recordFirst(attempt);
       policy.recordAnswer(attempt, 100);
@@ -93,6 +97,13 @@
     expect(policyAfter(40).delayFor(attempt)).toBeGreaterThanOrEqual(100);
   });
 
+  test('forgets answers after a pause', async () => {
+    const clock = new manualClock.ManualClock();
+    const policy = policyAfter(100, ON, clock);
+    await clock.advance(60_000);
+    expect(policy.delayFor(attempt)).toBeUndefined();
+  });
+
   test('waits longer for an answer that has more work ahead of it', () => {
     const policy = policyAfter(100);
     const delay = policy.delayFor(attempt) ?? 0;
--- a/src/hedging/RatioHistogram.ts
+++ b/src/hedging/RatioHistogram.ts
@@ -33,6 +33,7 @@
 
   /** Number of values that count. */
   get count(): number {
+    this.startPeriod();
     return sum(this.current) + sum(this.previous);
   }
 
