Learn when an answer is late from successes only, and test the option off

The time to an error response counted like one to a first event; engines that fail fast would have shortened the wait before a second one.

"are not asked for by the times of errors" (PlanHedges.test.ts) fails without it: 221 ms for undefined. The new test that no time to wait is named without the option, or for a request that may not be repeated, passed before. Now the 31 tests of src/hedging, PlanHedges and CoordinatorHedges pass.

--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -291,7 +291,7 @@
     }
     const plan = this.plans.get(planId);
     if (plan !== undefined) {
-      this.hedges?.recordStarted(planId);
+      this.hedges?.recordStarted(planId, isSuccess);
       this.placers.get(plan.req.service)?.markStarted(planId);
       plan.results = undefined;
       plan.job.cancel();
--- a/src/coordination/CoordinatorHedges.test.ts
+++ b/src/coordination/CoordinatorHedges.test.ts
@@ -43,6 +43,12 @@
     clock = new manualClock.ManualClock();
     crashes = blame.makeBlame(clock);
     directory = new endpointDirectory.EndpointDirectory();
+    configure(ALWAYS);
+    list('e1', 'e2');
+  });
+
+  /** Creates the coordinator. */
+  function configure(hedgePolicy: hedging.IHedgePolicy | undefined): void {
     coordinator = new coordinators.Coordinator({
       clock,
       caller: { run: async () => [], free: async () => true },
@@ -53,7 +59,7 @@
         delayOf: () => (isLimited ? 50 : 0),
         take: () => !isLimited,
       },
-      hedgePolicy: ALWAYS,
+      hedgePolicy,
       logService: new recordingLog.RecordingLogService(),
       metrics: new recordingMetrics.RecordingMetricsService(),
     });
@@ -64,10 +70,12 @@
       services: new Map([[SERVICE, { name: SERVICE, maxConnections: 64, engine }]]),
       limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
     });
-    list('e1', 'e2');
-  });
+  }
 
-  function plan(planId: string): Promise<types.PlanOutcome> {
+  function plan(
+    planId: string,
+    change: Partial<types.IPlanRequest> = {},
+  ): Promise<types.PlanOutcome> {
     return coordinator.plan({
       planId,
       requestId: planId,
@@ -81,6 +89,7 @@
       prompt: { parts: [], tokensIn: 10, tokensOut: 10 },
       avoid: [],
       held: [],
+      ...change,
     });
   }
 
@@ -123,6 +132,15 @@
     expect(crashes.crashConfirmer.checked).not.toContain(first);
   });
 
+  test('name a time to wait only where the operator asks for them, and the request may be repeated', async () => {
+    expect(await plan('r')).toHaveProperty('hedgeAfter', 100);
+    expect(await plan('once', { isResumable: false })).not.toHaveProperty('hedgeAfter');
+    expect(await coordinator.hedge('once')).toBeUndefined();
+    configure(undefined);
+    expect(await plan('r')).not.toHaveProperty('hedgeAfter');
+    expect(await coordinator.hedge('r')).toBeUndefined();
+  });
+
   test('hold nothing against engines whose calls were cancelled', async () => {
     const [, second] = await race('r');
     coordinator.settleHedge('r', { winner: second });
--- a/src/coordination/PlanHedges.test.ts
+++ b/src/coordination/PlanHedges.test.ts
@@ -57,21 +57,21 @@
   }
 
   /** Serves a request for each engine at the same time, all in the usual time. */
-  async function serveRound(round: number, engines: number): Promise<void> {
+  async function serveRound(round: number, engines: number, isSuccess: boolean): Promise<void> {
     const planIds = Array.from({ length: engines }, (_, index) => `served-${round}-${index}`);
     planIds.forEach((planId) => place(planId));
     await clock.advance(USUAL_MS);
     planIds.forEach((planId) => {
-      hedges.recordStarted(planId);
+      hedges.recordStarted(planId, isSuccess);
       placer.markStarted(planId);
       placer.removeRequest(planId);
       hedges.remove(planId);
     });
   }
 
-  async function serve(rounds: number, engines: number): Promise<void> {
+  async function serve(rounds: number, engines: number, isSuccess = true): Promise<void> {
     for (let round = 0; round < rounds; round++) {
-      await serveRound(round, engines);
+      await serveRound(round, engines, isSuccess);
     }
   }
 
@@ -88,6 +88,11 @@
     expect(second?.id).not.toBe(engine);
   });
 
+  test('are not asked for by the times of errors', async () => {
+    await serve(15, 3, false);
+    expect(place('late').hedgeAfter).toBeUndefined();
+  });
+
   test('are given once for a request, and none to one that is unknown', async () => {
     await serve(15, 3);
     place('late');
@@ -108,7 +113,7 @@
     place('next');
     const third = hedges.request('next');
     hedges.settle('next', third?.id ?? '');
-    hedges.recordStarted('next');
+    hedges.recordStarted('next', true);
     expect(placer.occupancy).toBeCloseTo(1 / 12);
     hedges.remove('next');
     expect(placer.occupancy).toBe(0);
--- a/src/coordination/PlanHedges.ts
+++ b/src/coordination/PlanHedges.ts
@@ -104,13 +104,15 @@
     return isSecond ? 'first' : 'second';
   }
 
-  /** Records that the request has its first token, from whichever engine. */
-  recordStarted(planId: string): void {
+  /** Records that the request has its first token, from whichever engine, or an error in place of it. */
+  recordStarted(planId: string, isSuccess: boolean): void {
     const hedge = this.open.get(planId);
     if (hedge !== undefined) {
-      // A first attempt that lost would have taken longer: the sample is a lower bound.
-      const took = this.deps.clock.monotonic() - hedge.startedAt;
-      this.deps.policy.recordAnswer(hedge.attempt, took);
+      if (isSuccess) {
+        // A first attempt that lost would have taken longer: the sample is a lower bound.
+        const took = this.deps.clock.monotonic() - hedge.startedAt;
+        this.deps.policy.recordAnswer(hedge.attempt, took);
+      }
       hedge.placer.markStarted(secondIdOf(planId));
     }
   }
