--- a/src/coordination/PlanHedges.test.ts
+++ b/src/coordination/PlanHedges.test.ts
@@ -115,6 +115,8 @@
     hedges.settle('next', third?.id ?? '');
     hedges.recordStarted('next', true);
     expect(placer.occupancy).toBeCloseTo(1 / 12);
+    expect(placer.workOf('next')?.endpoint.id).toBe(third?.id);
+    placer.removeRequest('next');
     hedges.remove('next');
     expect(placer.occupancy).toBe(0);
     expect(second).toBeDefined();
--- a/src/coordination/PlanHedges.ts
+++ b/src/coordination/PlanHedges.ts
@@ -2,6 +2,7 @@
 import type * as commonTypes from '../common/Types.js';
 import type * as hedging from '../hedging/Types.js';
 import type * as enginePlacer from '../placing/EnginePlacer.js';
+import type * as placing from '../placing/Types.js';
 import type * as routing from '../routing/Types.js';
 
 /** Services that PlanHedges uses. */
@@ -18,7 +19,7 @@
   readonly service: string;
   readonly placer: enginePlacer.EnginePlacer;
   /** Request for the placement on the engine that has it, with the results that it reads. */
-  readonly placement: enginePlacer.IPlacementRequest;
+  readonly placement: placing.IPlacementRequest;
 }
 
 interface IOpenHedge extends IHedgedPlan {
@@ -98,8 +99,9 @@
     const isSecond = second.id === winner;
     this.deps.metrics.count('hedge_won', { by: isSecond ? 'second' : 'first' });
     placer.removeOutrun(isSecond ? planId : secondIdOf(planId));
-    if (!isSecond) {
-      hedge.second = undefined;
+    hedge.second = undefined;
+    if (isSecond) {
+      placer.rename(secondIdOf(planId), planId);
     }
     return isSecond ? 'first' : 'second';
   }
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -10,6 +10,7 @@
 import * as answerBody from './AnswerBody.js';
 import type * as engineCall from './EngineCall.js';
 import * as engineCalls from './EngineCalls.js';
+import * as eventPace from './EventPace.js';
 import * as eventRelay from './EventRelay.js';
 import type * as requestScope from './RequestScope.js';
 import * as types from './Types.js';
@@ -396,17 +397,20 @@
       scope.responseStarted = true;
       this.begun = answer;
     }
-    const end = await this.relay.relay(answer, () => {
-      deps.planner.markStarted(this.planId, isStream);
+    const pace = new eventPace.EventPace(deps.clock);
+    const slowdown = answer.load?.slowdown;
+    const onFirstData = (): void => {
+      deps.planner.markStarted(this.planId, isStream, slowdown);
       this.inputsReleased = true;
       this.log('first-event', {});
-    });
+    };
+    const end = await this.relay.relay(answer, onFirstData, pace);
     if (end.kind === 'cut') {
       return end;
     }
     if (end.kind === 'whole') {
       scope.responder.end();
-      this.finishAnswered(answer);
+      this.finishAnswered(answer, slowdown === undefined ? undefined : pace.meanGap);
     }
     return { kind: 'done' };
   }
@@ -421,6 +425,7 @@
       answer.body,
       () => answer.isComplete(),
       answerBody.MAX_BODY_BYTES,
+      this.deps.memory,
     );
     if (scope.isFinished) {
       return { kind: 'done' };
@@ -435,9 +440,9 @@
     return { kind: 'done' };
   }
 
-  private finishAnswered(answer: types.IEndpointAnswer): void {
+  private finishAnswered(answer: types.IEndpointAnswer, eventGap?: commonTypes.Millis): void {
     this.log('answered', { status: answer.status });
-    this.deps.planner.markEnded(this.planId);
+    this.deps.planner.markEnded(this.planId, undefined, eventGap);
     this.scope.finish();
   }
 
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -1,5 +1,6 @@
 import * as stream from 'node:stream';
 import * as vitest from 'vitest';
+import * as ampleBudget from '../common/memory/testing/AmpleBudget.js';
 import type * as blameTable from '../blame/BlameTable.js';
 import * as blame from '../blame/testing/Blame.js';
 import * as fakeBlameLink from '../blame/testing/FakeBlameLink.js';
@@ -271,6 +272,7 @@
       balancer: new serviceBalancer.ServiceBalancer(directory, clock, random, 'a', permits),
       streams,
       budget,
+      memory: ampleBudget.ampleBudget(clock),
       logService: log,
       metrics,
       entryVmCount: () => 1,
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -2,7 +2,9 @@
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as room from '../room/Types.js';
 import type * as routing from '../routing/Types.js';
+import * as engineSpeeds from './EngineSpeeds.js';
 import * as engineState from './EngineState.js';
+import * as homeEngine from './HomeEngine.js';
 import * as promptCacheEstimate from './PromptCacheEstimate.js';
 import type * as types from './Types.js';
 
@@ -40,12 +42,6 @@
   hasStarted: boolean;
 }
 
-/** Availability zone and size of one input of a request. */
-export interface IInputLocation {
-  readonly zone: string;
-  readonly bytes: number;
-}
-
 /** What an engine has to do for a request before its first token. */
 export interface IPlacedWork {
   readonly endpoint: routing.IEndpoint;
@@ -56,24 +52,11 @@
   readonly placedAt: commonTypes.Millis;
 }
 
-/** A request to place on an engine. */
-export interface IPlacementRequest {
-  readonly planId: string;
-  readonly prompt: types.IPrompt;
-  readonly inputs: readonly IInputLocation[];
-  /** Ids of endpoints that failed this request; they are not chosen. */
-  readonly avoid: readonly string[];
-  /** Software version that the engine must have; undefined for any. */
-  readonly version?: string | undefined;
-  /** Whether ejected and stalled engines are not chosen, even if there are no others. */
-  readonly needsHealthy?: boolean;
-}
-
 /**
  * Chooses a model engine for each request of one service by the lowest cost in prompt tokens. The cost
  * favours engines that have the shared prompt parts cached, short queues, and inputs in the same
  * availability zone; engines that have failed are ejected for a while, and engines that name a rate limit get no more
- * requests than it allows. Covers moderate load and the crash of some engines.
+ * requests than it allows. On engines that say how fast they work, work costs as much as it takes longer there. Covers moderate load and the crash of some engines.
  *
  * @example
  * const endpoint = placer.place(req);
@@ -120,7 +103,7 @@
    * chosen only if there are no others. Returns undefined if no engine is left, or none whose rate limit allows a
    * request now.
    */
-  place(req: IPlacementRequest): routing.IEndpoint | undefined {
+  place(req: types.IPlacementRequest): routing.IEndpoint | undefined {
     const now = this.clock.monotonic();
     const engines = this.enginesFor(req).filter(
       (engine) => this.rateLimiter.delayOf(engine.endpoint.id) === 0 && this.hasRoom(engine),
@@ -140,7 +123,7 @@
   /**
    * Time until the rate limit of an engine allows a request, 0 if it does now; infinite if no engine may run it.
    */
-  limitDelay(req: Pick<IPlacementRequest, 'avoid' | 'version'>): commonTypes.Millis {
+  limitDelay(req: Pick<types.IPlacementRequest, 'avoid' | 'version'>): commonTypes.Millis {
     const delays = this.enginesFor(req).map((engine) =>
       Math.max(
         this.rateLimiter.delayOf(engine.endpoint.id),
@@ -193,10 +176,16 @@
       .map(({ endpoint }) => endpoint.id);
   }
 
-  /** Records that the engine has read the request's prompt; repeated calls have no effect. */
-  markStarted(planId: string): void {
+  /**
+   * Records that the engine has read the request's prompt, and the slowdown that it reports, if any; repeated calls have
+   * no effect.
+   */
+  markStarted(planId: string, slowdown?: number): void {
     const placed = this.placedRequests.get(planId);
     if (placed !== undefined) {
+      if (slowdown !== undefined && !placed.hasStarted) {
+        placed.engine.slowdown.record(slowdown, this.clock.monotonic());
+      }
       if (!placed.hasStarted) {
         placed.hasStarted = true;
         placed.engine.markStarted(placed.unreadTokens, this.clock.monotonic());
@@ -204,6 +193,23 @@
     }
   }
 
+  /** Records the mean time between the events that an engine sent for a request; before the request is removed. */
+  recordEventGap(planId: string, gap: commonTypes.Millis): void {
+    this.placedRequests.get(planId)?.engine.recordGap(gap);
+  }
+
+  /**
+   * Time that work takes on an engine now, relative to an engine of median pace; undefined if it does not say how fast it
+   * works.
+   */
+  relativeTimeOf(endpointId: string): number | undefined {
+    const engine = this.engines.get(endpointId);
+    const pace = engineSpeeds.medianPace([...this.engines.values()]);
+    return engine?.slowdown.isKnown === true
+      ? engineSpeeds.expectedTime(engine, pace, this.clock.monotonic())
+      : undefined;
+  }
+
   /** Removes a request from its engine; unknown plan ids are ignored. */
   removeRequest(planId: string): void {
     this.remove(planId, ({ engine, unreadTokens }) =>
@@ -216,6 +222,15 @@
     this.remove(planId, ({ engine, unreadTokens }) => engine.removeOutrun(unreadTokens));
   }
 
+  /** Counts a request under another plan id from now on, in place of the one there; unknown ids are ignored. */
+  rename(planId: string, newId: string): void {
+    const placed = this.placedRequests.get(planId);
+    if (placed !== undefined) {
+      this.placedRequests.delete(planId);
+      this.placedRequests.set(newId, placed);
+    }
+  }
+
   private remove(planId: string, removeWaiting: (placed: IPlacedRequest) => void): void {
     const placed = this.placedRequests.get(planId);
     if (placed !== undefined) {
@@ -240,7 +255,7 @@
    * Availability zone of the engine that has most of a prompt cached, or else of the home engine of its shared part.
    */
   preferredZone(prompt: types.IPrompt): string | undefined {
-    const home = this.homeEngineOf([...this.engines.values()], prompt);
+    const home = homeEngine.homeEngineOf([...this.engines.values()], prompt);
     let mostCached = 0;
     let zone = this.engines.get(home)?.endpoint.availabilityZone;
     this.engines.forEach(({ endpoint, promptCache }) => {
@@ -265,7 +280,7 @@
   private enginesFor({
     avoid,
     version,
-  }: Pick<IPlacementRequest, 'avoid' | 'version'>): readonly engineState.EngineState[] {
+  }: Pick<types.IPlacementRequest, 'avoid' | 'version'>): readonly engineState.EngineState[] {
     return [...this.engines.values()].filter(
       ({ endpoint }) =>
         !avoid.includes(endpoint.id) &&
@@ -273,7 +288,7 @@
     );
   }
 
-  private assign(engine: engineState.EngineState, req: IPlacementRequest): void {
+  private assign(engine: engineState.EngineState, req: types.IPlacementRequest): void {
     this.removeRequest(req.planId);
     const { waitingTokens } = engine;
     const tokens = engine.addRequest(req.prompt, this.clock.monotonic());
@@ -289,11 +304,13 @@
 
   private findCheapest(
     engines: readonly engineState.EngineState[],
-    req: IPlacementRequest,
+    req: types.IPlacementRequest,
   ): engineState.EngineState | undefined {
     const fullThreshold = this.limits.slots * FULL_SLOTS_RATIO;
-    const home = this.homeEngineOf(engines, req.prompt);
+    const home = homeEngine.homeEngineOf(engines, req.prompt);
     const sharedTokens = req.prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
+    const pace = engineSpeeds.medianPace([...this.engines.values()]);
+    const now = this.clock.monotonic();
     let best: engineState.EngineState | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     engines.forEach((engine) => {
@@ -301,7 +318,8 @@
         Math.max(0, engine.placedRequestCount - fullThreshold) * this.limits.cacheTokens;
       const awayFromHomeCost =
         engine.endpoint.id === home ? 0 : sharedTokens * AWAY_FROM_HOME_COST_RATIO;
-      const cost = this.costOf(engine, req) + overloadCost + awayFromHomeCost;
+      const relativeTime = engineSpeeds.expectedTime(engine, pace, now);
+      const cost = this.costOf(engine, req, relativeTime) + overloadCost + awayFromHomeCost;
       if (cost < bestCost) {
         best = engine;
         bestCost = cost;
@@ -310,46 +328,22 @@
     return best;
   }
 
-  /**
-   * Id of the home engine of a prompt's last shared part, or an empty string without one. Rendezvous hashing
-   * (highest random weight) gives the same engine in every process with the same engines.
-   */
-  private homeEngineOf(engines: readonly engineState.EngineState[], prompt: types.IPrompt): string {
-    const sharedPartId = prompt.parts.at(-2)?.id;
-    if (sharedPartId === undefined) {
-      return '';
-    }
-    let best = '';
-    let bestWeight = -1;
-    engines.forEach(({ endpoint }) => {
-      const weight = hashWeight(`${sharedPartId}/${endpoint.id}`);
-      if (weight > bestWeight) {
-        best = endpoint.id;
-        bestWeight = weight;
-      }
-    });
-    return best;
-  }
-
-  private costOf(engine: engineState.EngineState, req: IPlacementRequest): number {
+  /** `relativeTime` is the time that work takes on the engine, relative to others. */
+  private costOf(
+    engine: engineState.EngineState,
+    req: types.IPlacementRequest,
+    relativeTime: number,
+  ): number {
     const unreadTokens = req.prompt.tokensIn - engine.promptCache.cachedTokens(req.prompt);
     const crossZoneBytes = req.inputs
       .filter((input) => input.zone !== engine.endpoint.availabilityZone)
       .reduce((sum, input) => sum + input.bytes, 0);
+    const tokensToRead = unreadTokens + engine.waitingTokens * WAITING_TOKEN_COST_RATIO;
+    // Engines with as many requests each get work by their speed, because a slow one keeps its requests for longer.
     return (
-      unreadTokens +
-      engine.waitingTokens * WAITING_TOKEN_COST_RATIO +
+      tokensToRead * relativeTime +
       engine.placedRequestCount * RUNNING_REQUEST_COST_TOKENS +
       crossZoneBytes * CROSS_ZONE_COST_TOKENS_PER_BYTE
     );
   }
 }
-
-/** 32-bit rendezvous weight of a text: FNV-1a with a multiplicative finalizer. */
-function hashWeight(text: string): number {
-  let hash = 2_166_136_261;
-  for (let at = 0; at < text.length; at++) {
-    hash = Math.imul(hash ^ text.charCodeAt(at), 16_777_619);
-  }
-  return Math.imul(hash ^ (hash >>> 15), 2_246_822_519) >>> 0;
-}
