--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -10,6 +10,7 @@
 import type * as routing from '../routing/Types.js';
 import type * as zoneTypes from '../zones/Types.js';
 import * as feedConnection from './FeedConnection.js';
+import * as hedgeRequests from './HedgeRequests.js';
 import * as heldResults from './HeldResults.js';
 import * as leaderHints from './LeaderHints.js';
 import * as leaderSearch from './LeaderSearch.js';
@@ -85,6 +86,8 @@
 
   private readonly pending = new Map<string, IPendingPlan>();
 
+  private readonly hedgeRequests = new hedgeRequests.HedgeRequests();
+
   private readonly hints: leaderHints.LeaderHints;
 
   private connection: feedConnection.FeedConnection | undefined;
@@ -325,8 +328,25 @@
     this.send({ kind: 'trial', trialId, traits });
   }
 
+  /** @inheritdoc */
+  hedge(planId: string): Promise<routing.IEndpoint | undefined> {
+    if (!this.hasCoordinator) {
+      return Promise.resolve(undefined);
+    }
+    const answered = this.hedgeRequests.add(planId);
+    this.send({ kind: 'hedge', planId });
+    return answered;
+  }
+
+  /** @inheritdoc */
+  settleHedge(planId: string, end: types.IHedgeEnd): void {
+    this.hedgeRequests.resolve(planId, undefined);
+    this.send({ kind: 'hedge-end', planId, end });
+  }
+
   /** @inheritdoc */
   cancel(planId: string): void {
+    this.hedgeRequests.resolve(planId, undefined);
     this.pending.delete(planId);
     this.finishPlan(planId, { kind: 'cancel', planId });
   }
@@ -562,6 +582,9 @@
       case 'permit':
         this.permitEmitter.fire(message.answer);
         break;
+      case 'hedged':
+        this.hedgeRequests.resolve(message.planId, message.endpoint);
+        break;
       case 'planned':
         this.pending.get(message.planId)?.resolve(message.outcome);
         this.pending.delete(message.planId);
@@ -619,6 +642,7 @@
 
   private failPending(): void {
     this.coordinatorLostEmitter.fire();
+    this.hedgeRequests.dropAll();
     const pendingPlans = [...this.pending.values()];
     this.pending.clear();
     pendingPlans.forEach(({ resolve }) => resolve(LOST_OUTCOME));
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -50,6 +50,7 @@
 /** Messages that wait and are still of use after their session was closed. */
 const OUTLIVING_KINDS: ReadonlySet<types.UpMessage['kind']> = new Set([
   'cancel',
+  'hedge-end',
   'started',
   'ended',
   'spare',
@@ -370,6 +371,12 @@
           planner.reassign(message.planId, message.failed, failureOf(message)),
         );
         break;
+      case 'hedge':
+        void this.sendHedge(session, message.planId);
+        break;
+      case 'hedge-end':
+        planner.settleHedge(message.planId, message.end);
+        break;
       case 'cancel':
         session.plans.delete(message.planId);
         planner.cancel(message.planId);
@@ -479,6 +486,13 @@
     }
   }
 
+  private async sendHedge(session: ISession, planId: string): Promise<void> {
+    const endpoint = await this.deps.coordinator.hedge(planId);
+    if (this.sessions.has(session)) {
+      session.stream.write({ kind: 'hedged', planId, ...(endpoint && { endpoint }) });
+    }
+  }
+
   /** Refuses a plan that the coordinator could not make because of an unexpected error. */
   private refuseFailed(planId: string, err: Error): types.PlanOutcome {
     this.deps.logService.error('plan-failed', { plan: planId, reason: err.stack });
--- a/src/gateway/FallbackPlanner.ts
+++ b/src/gateway/FallbackPlanner.ts
@@ -3,6 +3,7 @@
 import type * as commonTypes from '../common/Types.js';
 import * as heldResults from '../coordination/HeldResults.js';
 import type * as coordination from '../coordination/Types.js';
+import type * as routing from '../routing/Types.js';
 
 /** Planner that forwards to the coordinator, which plans for all entry VMs. */
 export interface ICoordinatorPlanner extends coordination.IPlanner {
@@ -129,6 +130,17 @@
     return planner.reassign(planId, failed, failure);
   }
 
+  /** @inheritdoc */
+  hedge(planId: string): Promise<routing.IEndpoint | undefined> {
+    const planner = this.plannerByPlan.get(planId);
+    return planner === undefined ? Promise.resolve(undefined) : planner.hedge(planId);
+  }
+
+  /** @inheritdoc */
+  settleHedge(planId: string, end: coordination.IHedgeEnd): void {
+    this.plannerByPlan.get(planId)?.settleHedge(planId, end);
+  }
+
   /** @inheritdoc */
   cancel(planId: string): void {
     this.localResults.forget(planId);
--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -36,10 +36,22 @@
 interface IPlacedRequest {
   readonly engine: engineState.EngineState;
   readonly unreadTokens: number;
+  /** Prompt tokens that the engine had to read before it could start the request, its own ones included. */
+  readonly tokensAhead: number;
   readonly placedAt: commonTypes.Millis;
   hasStarted: boolean;
 }
 
+/** What an engine has to do for a request before its first token. */
+export interface IPlacedWork {
+  readonly endpoint: routing.IEndpoint;
+  /** Prompt tokens of the request that the engine has to read. */
+  readonly tokens: number;
+  /** The same with those of the requests that waited there before. */
+  readonly tokensAhead: number;
+  readonly placedAt: commonTypes.Millis;
+}
+
 /**
  * Chooses a model engine for each request of one service by the lowest cost in prompt tokens. The cost
  * favours engines that have the shared prompt parts cached, short queues, and inputs in the same
@@ -99,7 +111,8 @@
     const healthy = engines.filter(
       (engine) => engine.ejectedUntil <= now && !engine.isStalled(now),
     );
-    const chosen = this.findCheapest(healthy.length > 0 ? healthy : engines, req);
+    const mayChooseAny = healthy.length === 0 && req.needsHealthy !== true;
+    const chosen = this.findCheapest(mayChooseAny ? engines : healthy, req);
     if (chosen === undefined || !this.rateLimiter.take(chosen.endpoint.id)) {
       return undefined;
     }
@@ -137,6 +150,32 @@
     return isUnlimited ? undefined : rates.reduce<number>((sum, rate) => sum + (rate ?? 0), 0);
   }
 
+  /** What the engine of a request has to do before its first token; undefined if the request is on no engine. */
+  workOf(planId: string): IPlacedWork | undefined {
+    const placed = this.placedRequests.get(planId);
+    return (
+      placed && {
+        endpoint: placed.engine.endpoint,
+        tokens: placed.unreadTokens,
+        tokensAhead: placed.tokensAhead,
+        placedAt: placed.placedAt,
+      }
+    );
+  }
+
+  /** Requests on all engines as a fraction of those that they run concurrently. */
+  get occupancy(): number {
+    const slots = this.engines.size * this.limits.slots;
+    return slots === 0 ? 1 : this.placedRequests.size / slots;
+  }
+
+  /** Ids of the engines in an availability zone. */
+  enginesIn(availabilityZone: string): readonly string[] {
+    return [...this.engines.values()]
+      .filter(({ endpoint }) => endpoint.availabilityZone === availabilityZone)
+      .map(({ endpoint }) => endpoint.id);
+  }
+
   /**
    * Records that the engine has read the request's prompt, and the slowdown that it reports, if any; repeated calls have
    * no effect.
@@ -173,10 +212,30 @@
 
   /** Removes a request from its engine; unknown plan ids are ignored. */
   removeRequest(planId: string): void {
+    this.remove(planId, ({ engine, unreadTokens }) =>
+      engine.removeWaiting(unreadTokens, this.clock.monotonic()),
+    );
+  }
+
+  /** Removes a request from an engine that another one has outrun: a stalled engine stays one. */
+  removeOutrun(planId: string): void {
+    this.remove(planId, ({ engine, unreadTokens }) => engine.removeOutrun(unreadTokens));
+  }
+
+  /** Counts a request under another plan id from now on, in place of the one there; unknown ids are ignored. */
+  rename(planId: string, newId: string): void {
+    const placed = this.placedRequests.get(planId);
+    if (placed !== undefined) {
+      this.placedRequests.delete(planId);
+      this.placedRequests.set(newId, placed);
+    }
+  }
+
+  private remove(planId: string, removeWaiting: (placed: IPlacedRequest) => void): void {
     const placed = this.placedRequests.get(planId);
     if (placed !== undefined) {
       if (!placed.hasStarted) {
-        placed.engine.removeWaiting(placed.unreadTokens, this.clock.monotonic());
+        removeWaiting(placed);
       }
       this.placedRequests.delete(planId);
       placed.engine.removeRequest();
@@ -231,11 +290,13 @@
 
   private assign(engine: engineState.EngineState, req: types.IPlacementRequest): void {
     this.removeRequest(req.planId);
+    const { waitingTokens } = engine;
     const tokens = engine.addRequest(req.prompt, this.clock.monotonic());
     const placedAt = this.clock.monotonic();
     this.placedRequests.set(req.planId, {
       engine,
       unreadTokens: tokens,
+      tokensAhead: waitingTokens + tokens,
       placedAt,
       hasStarted: false,
     });
--- a/src/placing/Types.ts
+++ b/src/placing/Types.ts
@@ -31,4 +31,6 @@
   readonly avoid: readonly string[];
   /** Software version that the engine must have; undefined for any. */
   readonly version?: string | undefined;
+  /** Whether ejected and stalled engines are not chosen, even if there are no others. */
+  readonly needsHealthy?: boolean;
 }
