--- a/src/common/memory/Collector.test.ts
+++ b/src/common/memory/Collector.test.ts
@@ -45,14 +45,6 @@
     expect(runs).toEqual(['minor']);
   });
 
-  test('collects the whole heap once much of it became garbage at once', () => {
-    const { collector, runs } = start();
-    collector.recordGarbage(20_000_000);
-    expect(runs).toEqual([]);
-    collector.recordGarbage(20_000_000);
-    expect(runs).toEqual(['major']);
-  });
-
   test('collects the whole heap while much is held, and a few times after', async () => {
     const { clock, budget, runs } = start();
     budget.lease('request').resize(800);
--- a/src/common/memory/Collector.ts
+++ b/src/common/memory/Collector.ts
@@ -4,8 +4,6 @@
 
 /** Received bytes after which the copies that Node made of them are collected. */
 const YOUNG_INTERVAL_BYTES = 8_388_608;
-/** Garbage of closed connections, as estimated, after which the whole heap is collected at once. */
-const FULL_INTERVAL_BYTES = 25_165_824;
 /** Interval at which the whole heap is collected while the budget is busy, and AFTER_ROUNDS times after. */
 const FULL_INTERVAL_MS = 1000;
 /** See FULL_INTERVAL_MS: connections that are closed free their memory in turn. */
@@ -25,8 +23,6 @@
 export class Collector implements commonTypes.IDisposable {
   private receivedBytes = 0;
 
-  private garbageBytes = 0;
-
   private roundsLeft = 0;
 
   private timer: commonTypes.IDisposable | undefined;
@@ -52,15 +48,6 @@
     }
   }
 
-  /** Records that about `bytes` of the heap became garbage at once. */
-  recordGarbage(bytes: number): void {
-    this.garbageBytes += bytes;
-    if (this.garbageBytes >= FULL_INTERVAL_BYTES) {
-      this.garbageBytes = 0;
-      this.deps.collect?.();
-    }
-  }
-
   /** @inheritdoc */
   dispose(): void {
     this.timer?.dispose();
--- a/src/gateway/BodyMemory.ts
+++ b/src/gateway/BodyMemory.ts
@@ -9,7 +9,7 @@
 export interface IBodyMemory {
   readonly leases: connectionLeases.ConnectionLeases;
   readonly pool: blockPool.BlockPool;
-  readonly collector: Pick<collector.Collector, 'recordReceived' | 'recordGarbage'>;
+  readonly collector: Pick<collector.Collector, 'recordReceived'>;
   readonly smallParts: smallParts.SmallParts;
 }
 
