--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -34,6 +34,7 @@
 interface IPlanState {
   readonly req: types.IPlanRequest;
   readonly job: stageJob.StageJob;
+  readonly estimate: planAdmission.IWaitEstimate;
   readonly requestedAt: commonTypes.Millis;
   /** Removes the plan if no end is reported. */
   readonly retention: commonTypes.IDisposable;
@@ -168,11 +169,12 @@
       return Promise.resolve(this.refuseNew(req, 'version-gone', VERSION_RETRY_AFTER_MS));
     }
     const held = [...req.held, ...this.takeOverResults(req.requestId)];
-    const refusal = this.quarantine.check(req) ?? this.admission.check(req, held);
+    const { refusal: overload, estimate } = this.admission.decide(req, held);
+    const refusal = this.quarantine.check(req) ?? overload;
     if (refusal !== undefined) {
       this.quarantine.recordEnded(req.planId, 'left');
       this.freeResults(held);
-      this.logOutcome(req, refusal, 0);
+      this.logOutcome(req, refusal, 0, estimate);
       return Promise.resolve(refusal);
     }
     return new Promise((resolve) => {
@@ -202,7 +204,16 @@
       const retention = this.deps.clock.setTimer(req.deadlineLeft + PLAN_RETENTION_MS, () =>
         this.removePlan(planId),
       );
-      const plan = { req, job, requestedAt: now, retention, resolve, results: undefined, avoid };
+      const plan = {
+        req,
+        job,
+        estimate,
+        requestedAt: now,
+        retention,
+        resolve,
+        results: undefined,
+        avoid,
+      };
       this.plans.set(planId, plan);
       this.latestPlanIds.set(req.requestId, planId);
       job.start(held);
@@ -456,7 +467,8 @@
     const { resolve } = plan;
     if (resolve !== undefined) {
       Object.assign(plan, { resolve: undefined });
-      this.logOutcome(plan.req, outcome, this.deps.clock.monotonic() - plan.requestedAt);
+      const took = this.deps.clock.monotonic() - plan.requestedAt;
+      this.logOutcome(plan.req, outcome, took, plan.estimate);
       resolve(outcome);
     }
   }
@@ -488,6 +500,7 @@
     req: types.IPlanRequest,
     outcome: types.PlanOutcome,
     duration: commonTypes.Millis,
+    estimate?: planAdmission.IWaitEstimate,
   ): void {
     const fields = {
       request: req.requestId,
@@ -500,6 +513,9 @@
       goalLeft: Math.round(req.goalLeft),
       deadlineLeft: Math.round(req.deadlineLeft),
       took: Math.round(duration),
+      stageTime: estimate && Math.round(estimate.stageTime),
+      queueDelay: estimate && Math.round(estimate.queueDelay),
+      slowest: estimate?.slowest,
       config: this.routingTable?.version,
       endpoints: this.deps.directory.current.revision,
     };
--- a/src/coordination/PlanAdmission.test.ts
+++ b/src/coordination/PlanAdmission.test.ts
@@ -79,7 +79,7 @@
     held: [],
     ...change,
   };
-  return admission.check(req, req.held);
+  return admission.decide(req, req.held).refusal;
 }
 
 test('does not refuse a chain for items that its last stage completes before the request comes there', () => {
--- a/src/coordination/PlanAdmission.ts
+++ b/src/coordination/PlanAdmission.ts
@@ -24,6 +24,23 @@
  */
 const MAX_ENGINE_WAIT_MS = 2000;
 
+/** Estimate of the time that the stages of a request take, at its arrival. */
+export interface IWaitEstimate {
+  /** Time of the calls of all stages that are left. */
+  readonly stageTime: commonTypes.Millis;
+  /** Time that the work which goes before delays the request. */
+  readonly queueDelay: commonTypes.Millis;
+  /** Stage service that delays it longest; undefined if none does. */
+  readonly slowest: string | undefined;
+}
+
+/** Decision on a request, and the estimate that it was made by. */
+export interface IAdmissionDecision {
+  /** Undefined if the request is admitted. */
+  readonly refusal: types.IPlanRefused | undefined;
+  readonly estimate: IWaitEstimate;
+}
+
 /** State of a coordinator that decides on the admission of requests. */
 export interface IPlanAdmissionDependencies {
   /** Returns the scheduler of a stage service; undefined for an unknown service. */
@@ -43,13 +60,10 @@
   constructor(private readonly deps: IPlanAdmissionDependencies) {}
 
   /**
-   * Returns a refusal for a request that can't be served in time; undefined if the request is admitted. `held` are the
-   * results of earlier plans that it continues with.
+   * Decides on a request that arrives; one that can't be served in time is refused. `held` are the results of earlier
+   * plans that it continues with.
    */
-  check(
-    req: types.IPlanRequest,
-    held: readonly batching.IResultRecord[],
-  ): types.PlanOutcome | undefined {
+  decide(req: types.IPlanRequest, held: readonly batching.IResultRecord[]): IAdmissionDecision {
     const { schedulerOf } = this.deps;
     const missingStages = req.stages
       .map((stage, at) => ({ stage, at, scheduler: schedulerOf(stage.service) }))
@@ -60,16 +74,20 @@
         stageEstimate.estimateRemainingTime(req.stages, req.pieces, at, schedulerOf),
       );
     const stageTime = Math.max(0, ...remainingTimes);
-    const queueDelay = (priority: number): commonTypes.Millis =>
-      Math.max(
-        0,
-        ...missingStages.map(({ at }) => this.delayAt(req, at, priority, held.length > 0)),
-      );
+    const delaysFor = (priority: number): readonly commonTypes.Millis[] =>
+      missingStages.map(({ at }) => this.delayAt(req, at, priority, held.length > 0));
+    const delays = delaysFor(req.priority);
+    const queueDelay = Math.max(0, ...delays);
+    const slowest =
+      queueDelay > 0 ? missingStages[delays.indexOf(queueDelay)]?.stage.service : undefined;
+    const estimate = { stageTime, queueDelay, slowest };
     const refusal =
       missingStages.length === 0
         ? undefined
-        : PlanAdmission.checkStages(req, stageTime, queueDelay);
-    return refusal ?? this.checkEngines(req, stageTime + queueDelay(req.priority));
+        : PlanAdmission.checkStages(req, estimate, () =>
+            Math.max(0, ...delaysFor(Number.POSITIVE_INFINITY)),
+          );
+    return { refusal: refusal ?? this.checkEngines(req, stageTime + queueDelay), estimate };
   }
 
   /**
@@ -95,12 +113,12 @@
 
   private static checkStages(
     req: types.IPlanRequest,
-    stageTime: commonTypes.Millis,
-    queueDelay: (priority: number) => commonTypes.Millis,
-  ): types.PlanOutcome | undefined {
+    { stageTime, queueDelay }: IWaitEstimate,
+    delayOfAll: () => commonTypes.Millis,
+  ): types.IPlanRefused | undefined {
     const remaining = stageTime + enginePlacer.EnginePlacer.typicalTimeToFirstToken;
-    const meetsGoal = queueDelay(req.priority) + remaining <= req.goalLeft;
-    const afterAllQueued = queueDelay(Number.POSITIVE_INFINITY) + remaining;
+    const meetsGoal = queueDelay + remaining <= req.goalLeft;
+    const afterAllQueued = delayOfAll() + remaining;
     if (remaining > req.deadlineLeft) {
       return { kind: 'refused', reason: 'too-late', retryAfter: MIN_RETRY_AFTER_MS };
     }
@@ -115,7 +133,7 @@
   private checkEngines(
     req: types.IPlanRequest,
     stagesDoneIn: commonTypes.Millis,
-  ): types.PlanOutcome | undefined {
+  ): types.IPlanRefused | undefined {
     const placer = this.deps.placerOf(req.service);
     const rate = placer?.rateLimit;
     if (placer === undefined || rate === undefined) {
