Admit by what happened to requests with tight estimates, and keep rank

A request that will miss its goal was admitted if all queued work was done in 0.3 of the time to its deadline.

AdmissionOutcomes takes requests that were expected near the end of their goal or after it and looks whether they met it; while nine in ten do, the door of their kind is 1.7 goals wide, at most 0.4 of the time left. RankShares admits a priority at a stage not more often than a more urgent one that is refused there for want of time. plan-ready and plan-refused name the inputs; plan_outranked counts.

--- a/bench/stages/scenarios.ts
+++ b/bench/stages/scenarios.ts
@@ -5,9 +5,11 @@
 const CALL_COST_MS = 240;
 const RESULT_LIFE_MS = 4000;
 const MB = 1_000_000;
-const LENGTH_MS = 34_000;
+/** Length of each scenario. */
+export const LENGTH_MS = 34_000;
 
-function service(
+/** A stage service whose endpoints run one call at a time. */
+export function service(
   name: string,
   endpoints: number,
   items: number,
@@ -26,11 +28,17 @@
   return { name, endpoints, limits };
 }
 
-function draw(mean: number, spread = 0, max = mean, share = 1, work = 1): types.IItemDraw {
+/** Draws of a number of items; by default always the mean. */
+export function draw(mean: number, spread = 0, max = mean, share = 1, work = 1): types.IItemDraw {
   return { mean, spread, max, share, work };
 }
 
-function stage(name: string, resultBytes: number, after: readonly number[] = []): routing.IStage {
+/** A stage with results of `resultBytes`, after those at the positions `after`. */
+export function stage(
+  name: string,
+  resultBytes: number,
+  after: readonly number[] = [],
+): routing.IStage {
   return { service: name, after, resultBytes };
 }
 
@@ -178,7 +186,8 @@
 const rotaCall = 150;
 const crewItems = draw(16, 0.4, 40);
 
-const rotaGrown: types.IScenario = {
+/** A deployment with short goals, many endpoints and little room for results. */
+export const rotaGrown: types.IScenario = {
   name: 'rota grown',
   zones: 3,
   engines: 62,
--- a/bench/stages/tool.ts
+++ b/bench/stages/tool.ts
@@ -1,6 +1,7 @@
 /** `node dist/bench/stages/tool.js [SEEDS] [ours|naive]`: plays the scenarios and prints what callers get, by kind. */
 import * as naivePlanner from './NaivePlanner.js';
 import * as play from './Play.js';
+import * as scarceScenarios from './scarceScenarios.js';
 import * as scenarios from './scenarios.js';
 import type * as types from './Types.js';
 
@@ -21,7 +22,7 @@
     scenario,
     scenarios.loaded(scenario, 1),
     scenarios.loaded(scenario, 2),
-  ]).concat(scenarios.LARGE_SCENARIOS, scenarios.LARGE_DAYS);
+  ]).concat(scenarios.LARGE_SCENARIOS, scenarios.LARGE_DAYS, scarceScenarios.SCARCE_DAYS);
   const planners = [
     ['ours', play.makeCoordinator],
     ['naive', naivePlanner.makeNaive],
--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -9,11 +9,13 @@
 import type * as rooms from '../room/Types.js';
 import * as unboundedRoom from '../room/UnboundedRoom.js';
 import type * as routing from '../routing/Types.js';
+import * as admissionOutcomes from './AdmissionOutcomes.js';
 import * as continuedStream from './ContinuedStream.js';
 import * as placementQueue from './PlacementQueue.js';
 import * as planAdmission from './PlanAdmission.js';
 import * as planVersions from './PlanVersions.js';
 import * as planQuarantine from './PlanQuarantine.js';
+import * as rankShares from './RankShares.js';
 import * as resultReleaser from './ResultReleaser.js';
 import * as streamVersions from './StreamVersions.js';
 import type * as types from './Types.js';
@@ -71,6 +73,8 @@
 
   private readonly placementQueue: placementQueue.PlacementQueue;
 
+  private readonly outcomes: admissionOutcomes.AdmissionOutcomes;
+
   private readonly admission: planAdmission.PlanAdmission;
 
   private readonly quarantine: planQuarantine.PlanQuarantine;
@@ -97,10 +101,13 @@
     this.placementQueue = new placementQueue.PlacementQueue(deps.clock, (planId) =>
       this.retryPlacement(planId),
     );
+    this.outcomes = new admissionOutcomes.AdmissionOutcomes(deps.clock);
     this.admission = new planAdmission.PlanAdmission({
       schedulerOf: (service) => this.schedulers.get(service),
       placerOf: (service) => this.placers.get(service),
       unplacedPlans: (service, priority) => this.countUnplaced(service, priority),
+      outcomes: this.outcomes,
+      shares: new rankShares.RankShares(deps.clock),
     });
     this.quarantine = new planQuarantine.PlanQuarantine(deps, () => this.refuseQuarantined());
   }
@@ -169,12 +176,15 @@
       return Promise.resolve(this.refuseNew(req, 'version-gone', VERSION_RETRY_AFTER_MS));
     }
     const held = [...req.held, ...this.takeOverResults(req.requestId)];
-    const { refusal: overload, estimate } = this.admission.decide(req, held);
+    const { refusal: overload, estimate, outrankedAt } = this.admission.decide(req, held);
     const refusal = this.quarantine.check(req) ?? overload;
     if (refusal !== undefined) {
       this.quarantine.recordEnded(req.planId, 'left');
       this.freeResults(held);
-      this.logOutcome(req, refusal, 0, estimate);
+      if (outrankedAt !== undefined) {
+        this.deps.metrics.count('plan_outranked', { service: outrankedAt });
+      }
+      this.logOutcome(req, refusal, 0, { ...estimate, outrankedAt });
       return Promise.resolve(refusal);
     }
     return new Promise((resolve) => {
@@ -215,6 +225,9 @@
         avoid,
       };
       this.plans.set(planId, plan);
+      if (estimate.isTight) {
+        this.outcomes.recordAdmitted(req);
+      }
       this.latestPlanIds.set(req.requestId, planId);
       job.start(held);
     });
@@ -286,6 +299,7 @@
     }
     const plan = this.plans.get(planId);
     if (plan !== undefined) {
+      this.outcomes.recordOutcome(plan.req, 'begun');
       this.placers.get(plan.req.service)?.markStarted(planId);
       plan.results = undefined;
       plan.job.cancel();
@@ -358,6 +372,9 @@
     }
     if (outcome.kind === 'failed') {
       const reason = outcome.reason === 'expired' ? 'too-late' : 'stage-failed';
+      if (reason === 'too-late') {
+        this.outcomes.recordOutcome(plan.req, 'given-up');
+      }
       this.refusePlan(planId, plan, reason, planAdmission.MIN_RETRY_AFTER_MS);
       return;
     }
@@ -481,6 +498,7 @@
     }
     plan.retention.dispose();
     this.plans.delete(planId);
+    this.outcomes.forget(plan.req);
     this.quarantine.recordEnded(planId, 'left');
     this.placementQueue.delete(planId);
     if (this.latestPlanIds.get(plan.req.requestId) === planId) {
@@ -500,7 +518,7 @@
     req: types.IPlanRequest,
     outcome: types.PlanOutcome,
     duration: commonTypes.Millis,
-    estimate?: planAdmission.IWaitEstimate,
+    estimate?: planAdmission.IWaitEstimate & { readonly outrankedAt?: string | undefined },
   ): void {
     const fields = {
       request: req.requestId,
@@ -516,6 +534,9 @@
       stageTime: estimate && Math.round(estimate.stageTime),
       queueDelay: estimate && Math.round(estimate.queueDelay),
       slowest: estimate?.slowest,
+      delayOfAll: estimate && Math.round(estimate.delayOfAll),
+      estimatesHigh: estimate?.isHigh,
+      outrankedAt: estimate?.outrankedAt,
       config: this.routingTable?.version,
       endpoints: this.deps.directory.current.revision,
     };
--- a/src/coordination/PlanAdmission.ts
+++ b/src/coordination/PlanAdmission.ts
@@ -4,6 +4,8 @@
 import type * as commonTypes from '../common/Types.js';
 import * as enginePlacer from '../placing/EnginePlacer.js';
 import type * as routing from '../routing/Types.js';
+import type * as admissionOutcomes from './AdmissionOutcomes.js';
+import type * as rankShares from './RankShares.js';
 import type * as types from './Types.js';
 
 /** Minimum `retryAfter` of a refusal. */
@@ -18,6 +20,14 @@
  * ratio of the time left until its deadline.
  */
 const LATE_ADMISSION_DEADLINE_RATIO = 0.3;
+/**
+ * The same while estimates turn out too high for requests of its kind: within this ratio of its goal, but also within this
+ * ratio of the time left until its deadline.
+ */
+const HIGH_GOAL_RATIO = 1.7;
+const HIGH_DEADLINE_RATIO = 0.4;
+/** Requests that are expected to take more than this ratio of their goal show whether the estimate is right. */
+const TIGHT_GOAL_RATIO = 0.85;
 /**
  * Longest wait for an engine with a rate limit that is planned for a request with complete stages, whose results hold
  * room meanwhile.
@@ -32,6 +42,12 @@
   readonly queueDelay: commonTypes.Millis;
   /** Stage service that delays it longest; undefined if none does. */
   readonly slowest: string | undefined;
+  /** Time that all outstanding work delays the request, less urgent work too. */
+  readonly delayOfAll: commonTypes.Millis;
+  /** Whether the request is expected near the end of its goal or after it. */
+  readonly isTight: boolean;
+  /** Whether such estimates turned out too high for the requests of its kind in the last seconds. */
+  readonly isHigh: boolean;
 }
 
 /** Decision on a request, and the estimate that it was made by. */
@@ -39,6 +55,8 @@
   /** Undefined if the request is admitted. */
   readonly refusal: types.IPlanRefused | undefined;
   readonly estimate: IWaitEstimate;
+  /** Stage service at which more urgent requests were refused, for which this one is; undefined otherwise. */
+  readonly outrankedAt: string | undefined;
 }
 
 /** State of a coordinator that decides on the admission of requests. */
@@ -49,6 +67,14 @@
   readonly placerOf: (service: string) => enginePlacer.EnginePlacer | undefined;
   /** Number of plans of a service, of this priority and more urgent ones, that have no engine yet. */
   readonly unplacedPlans: (service: string, priority: number) => number;
+  readonly outcomes: admissionOutcomes.AdmissionOutcomes;
+  readonly shares: rankShares.RankShares;
+}
+
+/** A stage of a request without all of its results. */
+interface IMissingStage {
+  readonly stage: routing.IStage;
+  readonly at: number;
 }
 
 /**
@@ -66,7 +92,7 @@
   decide(req: types.IPlanRequest, held: readonly batching.IResultRecord[]): IAdmissionDecision {
     const { schedulerOf } = this.deps;
     const missingStages = req.stages
-      .map((stage, at) => ({ stage, at, scheduler: schedulerOf(stage.service) }))
+      .map((stage, at) => ({ stage, at }))
       .filter(({ at }) => (req.pieces[at] ?? 0) > held.filter(({ stage }) => stage === at).length);
     const remainingTimes = missingStages
       .filter(({ stage }) => stage.after.length === 0)
@@ -80,14 +106,52 @@
     const queueDelay = Math.max(0, ...delays);
     const slowest =
       queueDelay > 0 ? missingStages[delays.indexOf(queueDelay)]?.stage.service : undefined;
-    const estimate = { stageTime, queueDelay, slowest };
-    const refusal =
+    const estimate: IWaitEstimate = {
+      stageTime,
+      queueDelay,
+      slowest,
+      delayOfAll: Math.max(0, ...delaysFor(Number.POSITIVE_INFINITY)),
+      isTight:
+        stageTime + queueDelay + enginePlacer.EnginePlacer.typicalTimeToFirstToken >=
+        req.goalLeft * TIGHT_GOAL_RATIO,
+      isHigh: this.deps.outcomes.areEstimatesHigh(req),
+    };
+    const { refusal, outrankedAt } =
       missingStages.length === 0
-        ? undefined
-        : PlanAdmission.checkStages(req, estimate, () =>
-            Math.max(0, ...delaysFor(Number.POSITIVE_INFINITY)),
-          );
-    return { refusal: refusal ?? this.checkEngines(req, stageTime + queueDelay), estimate };
+        ? { refusal: undefined, outrankedAt: undefined }
+        : this.checkStages(req, estimate, missingStages, held.length > 0);
+    return {
+      refusal: refusal ?? this.checkEngines(req, stageTime + queueDelay),
+      estimate,
+      outrankedAt,
+    };
+  }
+
+  /**
+   * Refuses a request that its stages can't serve in time, or whose turn is after more urgent ones that were refused; not
+   * for the latter if it has results already.
+   */
+  private checkStages(
+    req: types.IPlanRequest,
+    estimate: IWaitEstimate,
+    missingStages: readonly IMissingStage[],
+    hasResults: boolean,
+  ): Pick<IAdmissionDecision, 'refusal' | 'outrankedAt'> {
+    const { shares } = this.deps;
+    const services = [...new Set(missingStages.map(({ stage }) => stage.service))];
+    const refusal = PlanAdmission.checkTime(req, estimate);
+    if (refusal !== undefined) {
+      const refusedAt = refusal.reason === 'overloaded' ? estimate.slowest : undefined;
+      shares.record(req, refusedAt === undefined ? [] : [refusedAt], false);
+      return { refusal, outrankedAt: undefined };
+    }
+    const outrankedAt = hasResults ? undefined : shares.outrankedAt(req, services);
+    if (outrankedAt !== undefined) {
+      shares.record(req, [outrankedAt], false);
+      return { refusal: PlanAdmission.overloaded(req), outrankedAt };
+    }
+    shares.record(req, services, true);
+    return { refusal, outrankedAt };
   }
 
   /**
@@ -111,21 +175,33 @@
     return Math.max(0, scheduler.demandDelay(priority, resultBytes) - completedBefore);
   }
 
-  private static checkStages(
+  private static checkTime(
     req: types.IPlanRequest,
-    { stageTime, queueDelay }: IWaitEstimate,
-    delayOfAll: () => commonTypes.Millis,
+    { stageTime, queueDelay, delayOfAll, isHigh }: IWaitEstimate,
   ): types.IPlanRefused | undefined {
     const remaining = stageTime + enginePlacer.EnginePlacer.typicalTimeToFirstToken;
-    const meetsGoal = queueDelay + remaining <= req.goalLeft;
-    const afterAllQueued = delayOfAll() + remaining;
     if (remaining > req.deadlineLeft) {
       return { kind: 'refused', reason: 'too-late', retryAfter: MIN_RETRY_AFTER_MS };
     }
-    if (meetsGoal || afterAllQueued <= req.deadlineLeft * LATE_ADMISSION_DEADLINE_RATIO) {
+    const meetsGoal = queueDelay + remaining <= req.goalLeft;
+    if (meetsGoal || delayOfAll + remaining <= PlanAdmission.maxLateTime(req, isHigh)) {
       return undefined;
     }
-    const retryAfter = Math.max(MIN_RETRY_AFTER_MS, req.deadlineLeft * RETRY_AFTER_DEADLINE_RATIO);
+    return PlanAdmission.overloaded(req);
+  }
+
+  /** Time within which all queued work and then the request must be done for it to be admitted although it will be late. */
+  private static maxLateTime(
+    { goalLeft, deadlineLeft }: types.IPlanRequest,
+    isHigh: boolean,
+  ): commonTypes.Millis {
+    const usual = deadlineLeft * LATE_ADMISSION_DEADLINE_RATIO;
+    const widest = Math.min(goalLeft * HIGH_GOAL_RATIO, deadlineLeft * HIGH_DEADLINE_RATIO);
+    return isHigh ? Math.max(usual, widest) : usual;
+  }
+
+  private static overloaded({ deadlineLeft }: types.IPlanRequest): types.IPlanRefused {
+    const retryAfter = Math.max(MIN_RETRY_AFTER_MS, deadlineLeft * RETRY_AFTER_DEADLINE_RATIO);
     return { kind: 'refused', reason: 'overloaded', retryAfter };
   }
 
