Earn admissions by rank along the whole chain, so that rare kinds keep a share

RankShares compared shares stage by stage. A priority whose refusals fell on two stages looked better at each than it was, so that a less urgent kind of the same chain was still served more often; and the credit of three requests refused a kind with few requests a second for good.

A more urgent priority's refusals at all stages that a request needs count together. Each request earns its priority that share, an admission costs one, whatever the rate.

--- a/bench/stages/Play.ts
+++ b/bench/stages/Play.ts
@@ -193,6 +193,7 @@
       { id, tokens: kind.tokens - kind.sharedTokens },
     ];
     return {
+      fingerprint: id,
       service: ENGINES,
       stages: kind.stages,
       pieces: kind.items.map((draw) => this.drawItems(draw)),
--- a/src/coordination/PlanAdmission.ts
+++ b/src/coordination/PlanAdmission.ts
@@ -141,17 +141,17 @@
     const services = [...new Set(missingStages.map(({ stage }) => stage.service))];
     const refusal = PlanAdmission.checkTime(req, estimate);
     if (refusal !== undefined) {
-      const refusedAt = refusal.reason === 'overloaded' ? estimate.slowest : undefined;
-      shares.record(req, refusedAt === undefined ? [] : [refusedAt], false);
+      if (refusal.reason === 'overloaded' && estimate.slowest !== undefined) {
+        shares.record(req, services, estimate.slowest);
+      }
       return { refusal, outrankedAt: undefined };
     }
     const outrankedAt = hasResults ? undefined : shares.outrankedAt(req, services);
-    if (outrankedAt !== undefined) {
-      shares.record(req, [outrankedAt], false);
-      return { refusal: PlanAdmission.overloaded(req), outrankedAt };
-    }
-    shares.record(req, services, true);
-    return { refusal, outrankedAt };
+    shares.record(req, services, outrankedAt);
+    return {
+      refusal: outrankedAt === undefined ? undefined : PlanAdmission.overloaded(req),
+      outrankedAt,
+    };
   }
 
   /**
