--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -11,12 +11,14 @@
 import type * as rooms from '../room/Types.js';
 import * as unboundedRoom from '../room/UnboundedRoom.js';
 import type * as routing from '../routing/Types.js';
+import * as admissionOutcomes from './AdmissionOutcomes.js';
 import * as continuedStream from './ContinuedStream.js';
 import * as placementQueue from './PlacementQueue.js';
 import * as planAdmission from './PlanAdmission.js';
 import * as planHedges from './PlanHedges.js';
 import * as planVersions from './PlanVersions.js';
 import * as planQuarantine from './PlanQuarantine.js';
+import * as rankShares from './RankShares.js';
 import * as resultReleaser from './ResultReleaser.js';
 import * as streamVersions from './StreamVersions.js';
 import type * as types from './Types.js';
@@ -41,6 +43,7 @@
 interface IPlanState {
   readonly req: types.IPlanRequest;
   readonly job: stageJob.StageJob;
+  readonly estimate: planAdmission.IWaitEstimate;
   readonly requestedAt: commonTypes.Millis;
   /** Removes the plan if no end is reported. */
   readonly retention: commonTypes.IDisposable;
@@ -79,6 +82,8 @@
 
   private readonly placementQueue: placementQueue.PlacementQueue;
 
+  private readonly outcomes: admissionOutcomes.AdmissionOutcomes;
+
   private readonly admission: planAdmission.PlanAdmission;
 
   private readonly quarantine: planQuarantine.PlanQuarantine;
@@ -107,10 +112,13 @@
     this.placementQueue = new placementQueue.PlacementQueue(deps.clock, (planId) =>
       this.retryPlacement(planId),
     );
+    this.outcomes = new admissionOutcomes.AdmissionOutcomes(deps.clock);
     this.admission = new planAdmission.PlanAdmission({
       schedulerOf: (service) => this.schedulers.get(service),
       placerOf: (service) => this.placers.get(service),
       unplacedPlans: (service, priority) => this.countUnplaced(service, priority),
+      outcomes: this.outcomes,
+      shares: new rankShares.RankShares(deps.clock),
     });
     this.quarantine = new planQuarantine.PlanQuarantine(deps, () => this.refuseQuarantined());
     const { hedgePolicy: policy } = deps;
@@ -184,11 +192,15 @@
       return Promise.resolve(this.refuseNew(req, 'version-gone', VERSION_RETRY_AFTER_MS));
     }
     const held = [...req.held, ...this.takeOverResults(req.requestId)];
-    const refusal = this.quarantine.check(req) ?? this.admission.check(req, held);
+    const { refusal: overload, estimate, outrankedAt } = this.admission.decide(req, held);
+    const refusal = this.quarantine.check(req) ?? overload;
     if (refusal !== undefined) {
       this.quarantine.recordEnded(req.planId, 'left');
       this.freeResults(held);
-      this.logOutcome(req, refusal, 0);
+      if (outrankedAt !== undefined) {
+        this.deps.metrics.count('plan_outranked', { service: outrankedAt });
+      }
+      this.logOutcome(req, refusal, 0, { ...estimate, outrankedAt });
       return Promise.resolve(refusal);
     }
     return new Promise((resolve) => {
@@ -218,8 +230,20 @@
       const retention = this.deps.clock.setTimer(req.deadlineLeft + PLAN_RETENTION_MS, () =>
         this.removePlan(planId),
       );
-      const plan = { req, job, requestedAt: now, retention, resolve, results: undefined, avoid };
+      const plan = {
+        req,
+        job,
+        estimate,
+        requestedAt: now,
+        retention,
+        resolve,
+        results: undefined,
+        avoid,
+      };
       this.plans.set(planId, plan);
+      if (estimate.isTight) {
+        this.outcomes.recordAdmitted(req);
+      }
       this.latestPlanIds.set(req.requestId, planId);
       job.start(held);
     });
@@ -291,6 +315,7 @@
     }
     const plan = this.plans.get(planId);
     if (plan !== undefined) {
+      this.outcomes.recordOutcome(plan.req, 'begun');
       this.hedges?.recordStarted(planId, isSuccess);
       this.placers.get(plan.req.service)?.markStarted(planId, slowdown);
       plan.results = undefined;
@@ -424,6 +449,9 @@
         return;
       }
       const reason = outcome.reason === 'expired' ? 'too-late' : 'stage-failed';
+      if (reason === 'too-late') {
+        this.outcomes.recordOutcome(plan.req, 'given-up');
+      }
       this.refusePlan(planId, plan, reason, planAdmission.MIN_RETRY_AFTER_MS);
       return;
     }
@@ -538,7 +566,8 @@
     const { resolve } = plan;
     if (resolve !== undefined) {
       Object.assign(plan, { resolve: undefined });
-      this.logOutcome(plan.req, outcome, this.deps.clock.monotonic() - plan.requestedAt);
+      const took = this.deps.clock.monotonic() - plan.requestedAt;
+      this.logOutcome(plan.req, outcome, took, plan.estimate);
       resolve(outcome);
     }
   }
@@ -551,6 +580,7 @@
     }
     plan.retention.dispose();
     this.plans.delete(planId);
+    this.outcomes.forget(plan.req);
     this.quarantine.recordEnded(planId, 'left');
     this.placementQueue.delete(planId);
     if (this.latestPlanIds.get(plan.req.requestId) === planId) {
@@ -571,6 +601,7 @@
     req: types.IPlanRequest,
     outcome: types.PlanOutcome,
     duration: commonTypes.Millis,
+    estimate?: planAdmission.IWaitEstimate & { readonly outrankedAt?: string | undefined },
   ): void {
     const fields = {
       request: req.requestId,
@@ -583,6 +614,12 @@
       goalLeft: Math.round(req.goalLeft),
       deadlineLeft: Math.round(req.deadlineLeft),
       took: Math.round(duration),
+      stageTime: estimate && Math.round(estimate.stageTime),
+      queueDelay: estimate && Math.round(estimate.queueDelay),
+      slowest: estimate?.slowest,
+      delayOfAll: estimate && Math.round(estimate.delayOfAll),
+      estimatesHigh: estimate?.isHigh,
+      outrankedAt: estimate?.outrankedAt,
       config: this.routingTable?.version,
       endpoints: this.deps.directory.current.revision,
     };
--- a/src/coordination/PlanAdmission.ts
+++ b/src/coordination/PlanAdmission.ts
@@ -4,6 +4,8 @@
 import type * as commonTypes from '../common/Types.js';
 import * as enginePlacer from '../placing/EnginePlacer.js';
 import type * as routing from '../routing/Types.js';
+import type * as admissionOutcomes from './AdmissionOutcomes.js';
+import type * as rankShares from './RankShares.js';
 import type * as types from './Types.js';
 
 /** Minimum `retryAfter` of a refusal. */
@@ -18,12 +20,45 @@
  * ratio of the time left until its deadline.
  */
 const LATE_ADMISSION_DEADLINE_RATIO = 0.3;
+/**
+ * The same while estimates turn out too high for requests of its kind: within this ratio of its goal, but also within this
+ * ratio of the time left until its deadline.
+ */
+const HIGH_GOAL_RATIO = 1.7;
+const HIGH_DEADLINE_RATIO = 0.4;
+/** Requests that are expected to take more than this ratio of their goal show whether the estimate is right. */
+const TIGHT_GOAL_RATIO = 0.85;
 /**
  * Longest wait for an engine with a rate limit that is planned for a request with complete stages, whose results hold
  * room meanwhile.
  */
 const MAX_ENGINE_WAIT_MS = 2000;
 
+/** Estimate of the time that the stages of a request take, at its arrival. */
+export interface IWaitEstimate {
+  /** Time of the calls of all stages that are left. */
+  readonly stageTime: commonTypes.Millis;
+  /** Time that the work which goes before delays the request. */
+  readonly queueDelay: commonTypes.Millis;
+  /** Stage service that delays it longest; undefined if none does. */
+  readonly slowest: string | undefined;
+  /** Time that all outstanding work delays the request, less urgent work too. */
+  readonly delayOfAll: commonTypes.Millis;
+  /** Whether the request is expected near the end of its goal or after it. */
+  readonly isTight: boolean;
+  /** Whether such estimates turned out too high for the requests of its kind in the last seconds. */
+  readonly isHigh: boolean;
+}
+
+/** Decision on a request, and the estimate that it was made by. */
+export interface IAdmissionDecision {
+  /** Undefined if the request is admitted. */
+  readonly refusal: types.IPlanRefused | undefined;
+  readonly estimate: IWaitEstimate;
+  /** Stage service at which more urgent requests were refused, for which this one is; undefined otherwise. */
+  readonly outrankedAt: string | undefined;
+}
+
 /** State of a coordinator that decides on the admission of requests. */
 export interface IPlanAdmissionDependencies {
   /** Returns the scheduler of a stage service; undefined for an unknown service. */
@@ -32,6 +67,14 @@
   readonly placerOf: (service: string) => enginePlacer.EnginePlacer | undefined;
   /** Number of plans of a service, of this priority and more urgent ones, that have no engine yet. */
   readonly unplacedPlans: (service: string, priority: number) => number;
+  readonly outcomes: admissionOutcomes.AdmissionOutcomes;
+  readonly shares: rankShares.RankShares;
+}
+
+/** A stage of a request without all of its results. */
+interface IMissingStage {
+  readonly stage: routing.IStage;
+  readonly at: number;
 }
 
 /**
@@ -43,16 +86,13 @@
   constructor(private readonly deps: IPlanAdmissionDependencies) {}
 
   /**
-   * Returns a refusal for a request that can't be served in time; undefined if the request is admitted. `held` are the
-   * results of earlier plans that it continues with.
+   * Decides on a request that arrives; one that can't be served in time is refused. `held` are the results of earlier
+   * plans that it continues with.
    */
-  check(
-    req: types.IPlanRequest,
-    held: readonly batching.IResultRecord[],
-  ): types.PlanOutcome | undefined {
+  decide(req: types.IPlanRequest, held: readonly batching.IResultRecord[]): IAdmissionDecision {
     const { schedulerOf } = this.deps;
     const missingStages = req.stages
-      .map((stage, at) => ({ stage, at, scheduler: schedulerOf(stage.service) }))
+      .map((stage, at) => ({ stage, at }))
       .filter(({ at }) => (req.pieces[at] ?? 0) > held.filter(({ stage }) => stage === at).length);
     const remainingTimes = missingStages
       .filter(({ stage }) => stage.after.length === 0)
@@ -60,16 +100,58 @@
         stageEstimate.estimateRemainingTime(req.stages, req.pieces, at, schedulerOf),
       );
     const stageTime = Math.max(0, ...remainingTimes);
-    const queueDelay = (priority: number): commonTypes.Millis =>
-      Math.max(
-        0,
-        ...missingStages.map(({ at }) => this.delayAt(req, at, priority, held.length > 0)),
-      );
-    const refusal =
+    const delaysFor = (priority: number): readonly commonTypes.Millis[] =>
+      missingStages.map(({ at }) => this.delayAt(req, at, priority, held.length > 0));
+    const delays = delaysFor(req.priority);
+    const queueDelay = Math.max(0, ...delays);
+    const slowest =
+      queueDelay > 0 ? missingStages[delays.indexOf(queueDelay)]?.stage.service : undefined;
+    const estimate: IWaitEstimate = {
+      stageTime,
+      queueDelay,
+      slowest,
+      delayOfAll: Math.max(0, ...delaysFor(Number.POSITIVE_INFINITY)),
+      isTight:
+        stageTime + queueDelay + enginePlacer.EnginePlacer.typicalTimeToFirstToken >=
+        req.goalLeft * TIGHT_GOAL_RATIO,
+      isHigh: this.deps.outcomes.areEstimatesHigh(req),
+    };
+    const { refusal, outrankedAt } =
       missingStages.length === 0
-        ? undefined
-        : PlanAdmission.checkStages(req, stageTime, queueDelay);
-    return refusal ?? this.checkEngines(req, stageTime + queueDelay(req.priority));
+        ? { refusal: undefined, outrankedAt: undefined }
+        : this.checkStages(req, estimate, missingStages, held.length > 0);
+    return {
+      refusal: refusal ?? this.checkEngines(req, stageTime + queueDelay),
+      estimate,
+      outrankedAt,
+    };
+  }
+
+  /**
+   * Refuses a request that its stages can't serve in time, or whose turn is after more urgent ones that were refused; not
+   * for the latter if it has results already.
+   */
+  private checkStages(
+    req: types.IPlanRequest,
+    estimate: IWaitEstimate,
+    missingStages: readonly IMissingStage[],
+    hasResults: boolean,
+  ): Pick<IAdmissionDecision, 'refusal' | 'outrankedAt'> {
+    const { shares } = this.deps;
+    const services = [...new Set(missingStages.map(({ stage }) => stage.service))];
+    const refusal = PlanAdmission.checkTime(req, estimate);
+    if (refusal !== undefined) {
+      if (refusal.reason === 'overloaded' && estimate.slowest !== undefined) {
+        shares.record(req, services, estimate.slowest);
+      }
+      return { refusal, outrankedAt: undefined };
+    }
+    const outrankedAt = hasResults ? undefined : shares.outrankedAt(req, services);
+    shares.record(req, services, outrankedAt);
+    return {
+      refusal: outrankedAt === undefined ? undefined : PlanAdmission.overloaded(req),
+      outrankedAt,
+    };
   }
 
   /**
@@ -93,21 +175,33 @@
     return Math.max(0, scheduler.demandDelay(priority, resultBytes) - completedBefore);
   }
 
-  private static checkStages(
+  private static checkTime(
     req: types.IPlanRequest,
-    stageTime: commonTypes.Millis,
-    queueDelay: (priority: number) => commonTypes.Millis,
-  ): types.PlanOutcome | undefined {
+    { stageTime, queueDelay, delayOfAll, isHigh }: IWaitEstimate,
+  ): types.IPlanRefused | undefined {
     const remaining = stageTime + enginePlacer.EnginePlacer.typicalTimeToFirstToken;
-    const meetsGoal = queueDelay(req.priority) + remaining <= req.goalLeft;
-    const afterAllQueued = queueDelay(Number.POSITIVE_INFINITY) + remaining;
     if (remaining > req.deadlineLeft) {
       return { kind: 'refused', reason: 'too-late', retryAfter: MIN_RETRY_AFTER_MS };
     }
-    if (meetsGoal || afterAllQueued <= req.deadlineLeft * LATE_ADMISSION_DEADLINE_RATIO) {
+    const meetsGoal = queueDelay + remaining <= req.goalLeft;
+    if (meetsGoal || delayOfAll + remaining <= PlanAdmission.maxLateTime(req, isHigh)) {
       return undefined;
     }
-    const retryAfter = Math.max(MIN_RETRY_AFTER_MS, req.deadlineLeft * RETRY_AFTER_DEADLINE_RATIO);
+    return PlanAdmission.overloaded(req);
+  }
+
+  /** Time within which all queued work and then the request must be done for it to be admitted although it will be late. */
+  private static maxLateTime(
+    { goalLeft, deadlineLeft }: types.IPlanRequest,
+    isHigh: boolean,
+  ): commonTypes.Millis {
+    const usual = deadlineLeft * LATE_ADMISSION_DEADLINE_RATIO;
+    const widest = Math.min(goalLeft * HIGH_GOAL_RATIO, deadlineLeft * HIGH_DEADLINE_RATIO);
+    return isHigh ? Math.max(usual, widest) : usual;
+  }
+
+  private static overloaded({ deadlineLeft }: types.IPlanRequest): types.IPlanRefused {
+    const retryAfter = Math.max(MIN_RETRY_AFTER_MS, deadlineLeft * RETRY_AFTER_DEADLINE_RATIO);
     return { kind: 'refused', reason: 'overloaded', retryAfter };
   }
 
@@ -115,7 +209,7 @@
   private checkEngines(
     req: types.IPlanRequest,
     stagesDoneIn: commonTypes.Millis,
-  ): types.PlanOutcome | undefined {
+  ): types.IPlanRefused | undefined {
     const placer = this.deps.placerOf(req.service);
     const rate = placer?.rateLimit;
     if (placer === undefined || rate === undefined) {
