Wait for the event of a coordinator found again in a test of the feed

Ruled out: a client that does not come back; it had its coordinator at the time-out. Change: the test waits for the event of a coordinator found after the loss, which says the same and cannot be missed.

--- a/src/coordination/Feed.test.ts
+++ b/src/coordination/Feed.test.ts
@@ -229,9 +229,12 @@
   const planned = await client.plan(PLAN);
   expect(planned.kind).toBe('ready');
   const { connection } = client as unknown as { connection: { end(reason: string): void } };
+  let isFoundAgain = false;
+  client.onCoordinatorFound(() => {
+    isFoundAgain = true;
+  });
   connection.end('lost in a test');
-  await until(() => !client.isConnected);
-  await until(() => client.isConnected);
+  await until(() => isFoundAgain);
   // Longer than the coordinator keeps the plans of a closed session.
   await clock.sleep(1500);
   expect(client.isConnected).toBe(true);
