--- a/src/coordination/FeedClient.ts
+++ b/src/coordination/FeedClient.ts
@@ -511,6 +511,10 @@
       logService.warn('coordinator-lost', { address, reason: endReason, plans: this.pending.size });
       metrics.count('coordinator_lost');
       this.disconnectedAt = clock.monotonic();
+    } else {
+      const age = Math.round(connection.age);
+      logService.info('feed-left', { address, reason: endReason, age, hasReceived });
+      metrics.count('feed_left', { answered: String(hasReceived) });
     }
     this.hasCoordinator = false;
     this.failPending();
--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -44,6 +44,10 @@
 /** Time for which the highest number of entry VMs is reported, so that it does not fall while they change connections. */
 const ENTRY_COUNT_WINDOW_MS = 10_000;
 
+/** Interval of the log lines on the load of a coordinator. */
+const LOAD_INTERVAL_MS = 1000;
+const MICROS_PER_MS = 1000;
+
 /** Time after which the caller of a plan that failed for an unexpected error may come back. */
 const FAILED_PLAN_RETRY_MS = 1000;
 
@@ -137,6 +141,9 @@
 
   private isCoordinating = false;
 
+  /** Number of connections that were ever accepted. */
+  private openedSessions = 0;
+
   /** Endpoint list that was sent to all entry VMs last. */
   private sentList: routing.IEndpointList | undefined;
 
@@ -218,6 +225,7 @@
       deps.log.onLeadership((leads) => this.handleLeadership(leads)),
     );
     void this.runStateLoop();
+    void this.runLoadLoop();
   }
 
   /** Whether this control VM plans requests: it leads the group, or led it last and has seen no newer leader. */
@@ -247,6 +255,30 @@
     }
   }
 
+  /** Logs what a coordinator has to do, and the part of a processor that its process uses for it. */
+  private async runLoadLoop(): Promise<void> {
+    const { clock, logService, coordinator: planner } = this.deps;
+    const { signal } = this.stopController;
+    while (!signal.aborted) {
+      const startedAt = clock.monotonic();
+      const usage = process.cpuUsage();
+      const opened = this.openedSessions;
+      await clock.sleep(LOAD_INTERVAL_MS, signal).catch(() => {});
+      const { user, system } = process.cpuUsage(usage);
+      const took = Math.max(1, clock.monotonic() - startedAt);
+      if (this.isCoordinating) {
+        logService.info('coordinator-load', {
+          processor: ((user + system) / MICROS_PER_MS / took).toFixed(2),
+          late: Math.round(took - LOAD_INTERVAL_MS),
+          vms: this.entryCount,
+          opened: this.openedSessions - opened,
+          waitingMessages: this.inbox.length,
+          plans: planner.planCount,
+        });
+      }
+    }
+  }
+
   private openSession(stream: sessionStream.ServerStream): void {
     const now = this.deps.clock.monotonic();
     const plans = new Map<string, PlanProgress>();
@@ -263,6 +295,7 @@
       pendingResults: [],
     };
     this.sessions.add(session);
+    this.openedSessions += 1;
     stream.on('data', (message: types.UpMessage) => this.receive(session, message));
     stream.on('error', (err: Error) => this.closeSession(session, err.message));
     stream.on('end', () => this.closeSession(session, 'ended'));
