--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -20,6 +20,7 @@
 import * as listRequests from './ListRequests.js';
 import * as newsFeed from './NewsFeed.js';
 import * as pacedSender from './PacedSender.js';
+import * as planAdmission from './PlanAdmission.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
@@ -50,6 +51,14 @@
 const LOAD_INTERVAL_MS = 1000;
 const MICROS_PER_MS = 1000;
 
+/**
+ * Longest time that plan requests wait before new ones of each priority are refused: a coordinator that is later loses
+ * more requests by its delay than it gains. The last value applies to all less urgent priorities.
+ */
+const MAX_PLAN_WAITS_MS: readonly commonTypes.Millis[] = [200, 150, 100];
+/** The same as a part of the request's goal. */
+const MAX_PLAN_WAIT_GOAL_RATIO = 1 / 8;
+
 /** Time after which the caller of a plan that failed for an unexpected error may come back. */
 const FAILED_PLAN_RETRY_MS = 1000;
 
@@ -370,10 +379,18 @@
       .forEach((session) => this.closeSession(session, 'silent'));
   }
 
-  /** Handles a message in its turn, so that what many VMs send at once does not hold up heartbeats of the group. */
+  /**
+   * Handles a message in its turn, so that what many VMs send at once does not hold up heartbeats of the group. Plan
+   * requests come last, because all other messages end plans or free what plans wait for; if they already wait too long, a
+   * new one is refused at once.
+   */
   private receive(session: ISession, message: types.UpMessage): void {
     Object.assign(session, { lastReceivedAt: this.deps.clock.monotonic() });
     const { kind } = message;
+    if (kind === 'plan') {
+      this.receivePlan(session, message.plan);
+      return;
+    }
     const handle = (): void => {
       if (this.sessions.has(session) || OUTLIVING_KINDS.has(kind)) {
         this.handleMessage(session, message);
@@ -382,6 +399,45 @@
     this.inbox.add(handle, URGENT_KINDS.has(kind) ? 'high' : 'normal');
   }
 
+  private receivePlan(session: ISession, plan: types.IPlanRequest): void {
+    const maxWait = maxPlanWait(plan);
+    const mayRefuse = plan.held.length === 0 && plan.continuedId === undefined;
+    const waited = this.inbox.waitOf('low');
+    if (mayRefuse && waited > maxWait) {
+      this.refuseLatePlan(session, plan, waited);
+      return;
+    }
+    session.plans.set(plan.planId, 'pending');
+    this.inbox.add((delay) => {
+      if (!this.sessions.has(session) || !session.plans.has(plan.planId)) {
+        return;
+      }
+      if (mayRefuse && delay > maxWait) {
+        this.refuseLatePlan(session, plan, delay);
+        return;
+      }
+      const goalLeft = Math.max(1, plan.goalLeft - delay);
+      this.startPlan(session, { ...plan, goalLeft, deadlineLeft: plan.deadlineLeft - delay });
+    }, 'low');
+  }
+
+  /** Refuses a plan that this coordinator would begin too late, without planning it. */
+  private refuseLatePlan(
+    session: ISession,
+    plan: types.IPlanRequest,
+    waited: commonTypes.Millis,
+  ): void {
+    const { logService, metrics } = this.deps;
+    const { planId, requestId, service, priority } = plan;
+    session.plans.delete(planId);
+    const outcome = planAdmission.refuseOverloaded(plan);
+    const { reason, retryAfter } = outcome;
+    const fields = { request: requestId, service, priority, reason, retryAfter };
+    logService.info('plan-refused', { ...fields, inboxWait: Math.round(waited) });
+    metrics.count('plan_refused_by_inbox');
+    session.stream.write({ kind: 'planned', planId, outcome });
+  }
+
   private handleMessage(session: ISession, message: types.UpMessage): void {
     const { coordinator: planner } = this.deps;
     const send = (down: types.DownMessage): void => {
@@ -407,10 +463,6 @@
         this.refreshRole();
         session.stream.write(this.buildState());
         break;
-      case 'plan':
-        session.plans.set(message.plan.planId, 'pending');
-        this.startPlan(session, message.plan);
-        break;
       case 'spare':
         planner.freeResults(message.records);
         break;
@@ -726,6 +778,12 @@
   }
 }
 
+function maxPlanWait({ priority, goalLeft }: types.IPlanRequest): commonTypes.Millis {
+  const last = MAX_PLAN_WAITS_MS.length - 1;
+  const limit = MAX_PLAN_WAITS_MS[Math.min(priority, last)] as commonTypes.Millis;
+  return Math.min(limit, goalLeft * MAX_PLAN_WAIT_GOAL_RATIO);
+}
+
 function failureOf(message: types.UpMessage & { readonly kind: 'again' }): types.EngineFailure {
   const { isHealthy = false, isNotRun = false } = message;
   const notRun = isHealthy ? 'limited' : 'not-run';
--- a/src/coordination/PlanAdmission.ts
+++ b/src/coordination/PlanAdmission.ts
@@ -77,6 +77,19 @@
   readonly at: number;
 }
 
+/**
+ * Refuses a request for want of time, with a time to come back that leaves enough for a second attempt.
+ *
+ * @example
+ * const { retryAfter } = refuseOverloaded(req); // milliseconds
+ */
+export function refuseOverloaded({
+  deadlineLeft,
+}: Pick<types.IPlanRequest, 'deadlineLeft'>): types.IPlanRefused {
+  const retryAfter = Math.max(MIN_RETRY_AFTER_MS, deadlineLeft * RETRY_AFTER_DEADLINE_RATIO);
+  return { kind: 'refused', reason: 'overloaded', retryAfter };
+}
+
 /**
  * Decides on its arrival whether a request can be served in time behind the work that goes before it. Answers bursts in
  * which stages have more work than time, and engines that all name a rate limit.
@@ -149,7 +162,7 @@
     const outrankedAt = hasResults ? undefined : shares.outrankedAt(req, services);
     shares.record(req, services, outrankedAt);
     return {
-      refusal: outrankedAt === undefined ? undefined : PlanAdmission.overloaded(req),
+      refusal: outrankedAt === undefined ? undefined : refuseOverloaded(req),
       outrankedAt,
     };
   }
@@ -187,7 +200,7 @@
     if (meetsGoal || delayOfAll + remaining <= PlanAdmission.maxLateTime(req, isHigh)) {
       return undefined;
     }
-    return PlanAdmission.overloaded(req);
+    return refuseOverloaded(req);
   }
 
   /** Time within which all queued work and then the request must be done for it to be admitted although it will be late. */
@@ -200,11 +213,6 @@
     return isHigh ? Math.max(usual, widest) : usual;
   }
 
-  private static overloaded({ deadlineLeft }: types.IPlanRequest): types.IPlanRefused {
-    const retryAfter = Math.max(MIN_RETRY_AFTER_MS, deadlineLeft * RETRY_AFTER_DEADLINE_RATIO);
-    return { kind: 'refused', reason: 'overloaded', retryAfter };
-  }
-
   /** Refuses a request for which the rate limits of all engines leave no room once its stages are complete. */
   private checkEngines(
     req: types.IPlanRequest,
--- a/src/coordination/SlicedQueue.ts
+++ b/src/coordination/SlicedQueue.ts
@@ -3,8 +3,18 @@
 /** Time for which tasks run before the event loop serves other events. */
 const SLICE_MS = 10;
 
-/** Tasks of high priority run before all others that wait. */
-export type TaskPriority = 'high' | 'normal';
+/** Tasks run before all that wait with a lower priority. */
+export type TaskPriority = 'high' | 'normal' | 'low';
+
+/** Receives the time for which the task waited. */
+export type Task = (waited: commonTypes.Millis) => void;
+
+interface IWaitingTask {
+  readonly run: Task;
+  readonly since: commonTypes.Millis;
+}
+
+const PRIORITIES: readonly TaskPriority[] = ['high', 'normal', 'low'];
 
 /**
  * Runs tasks in slices of limited duration, between which the event loop serves other events, such as heartbeats and
@@ -15,7 +25,7 @@
  * queue.add(() => handleMessage(message), 'normal');
  */
 export class SlicedQueue implements commonTypes.IDisposable {
-  private readonly tasks: Record<TaskPriority, (() => void)[]> = { high: [], normal: [] };
+  private readonly tasks: Record<TaskPriority, IWaitingTask[]> = { high: [], normal: [], low: [] };
 
   /** Begins the next slice; undefined while there was no task since the last one. */
   private timer: commonTypes.IDisposable | undefined;
@@ -34,16 +44,22 @@
 
   /** Number of tasks that wait. */
   get length(): number {
-    return this.tasks.high.length + this.tasks.normal.length;
+    return PRIORITIES.reduce((sum, priority) => sum + this.tasks[priority].length, 0);
+  }
+
+  /** Time for which the oldest task of a priority has waited; 0 if none waits. */
+  waitOf(priority: TaskPriority): commonTypes.Millis {
+    const [oldest] = this.tasks[priority];
+    return oldest === undefined ? 0 : this.clock.monotonic() - oldest.since;
   }
 
   /** Runs `task` after all tasks that were added before with the same or a higher priority. */
-  add(task: () => void, priority: TaskPriority = 'normal'): void {
+  add(task: Task, priority: TaskPriority = 'normal'): void {
     if (this.isDisposed) {
       return;
     }
     const { length } = this;
-    this.tasks[priority].push(task);
+    this.tasks[priority].push({ run: task, since: this.clock.monotonic() });
     if (this.timer === undefined) {
       this.beginSlice();
     } else if (!this.isRunning) {
@@ -58,8 +74,9 @@
   dispose(): void {
     this.isDisposed = true;
     this.timer?.dispose();
-    this.tasks.high = [];
-    this.tasks.normal = [];
+    PRIORITIES.forEach((priority) => {
+      this.tasks[priority] = [];
+    });
   }
 
   private beginSlice(): void {
@@ -79,15 +96,16 @@
     this.isRunning = true;
     try {
       for (let task = this.takeTask(); task !== undefined; task = this.takeTask()) {
-        task();
+        task.run(this.clock.monotonic() - task.since);
       }
     } finally {
       this.isRunning = false;
     }
   }
 
-  private takeTask(): (() => void) | undefined {
+  private takeTask(): IWaitingTask | undefined {
+    const { high, normal, low } = this.tasks;
     const isOver = this.clock.monotonic() >= this.sliceEnd;
-    return isOver ? undefined : (this.tasks.high.shift() ?? this.tasks.normal.shift());
+    return isOver ? undefined : (high.shift() ?? normal.shift() ?? low.shift());
   }
 }
--- a/src/coordination/testing/FeedVm.ts
+++ b/src/coordination/testing/FeedVm.ts
@@ -26,6 +26,9 @@
   /** Arrived messages by kind. */
   readonly received = new Map<string, number>();
 
+  /** Called with the outcome of each plan. */
+  onPlanned: (planId: string, outcome: types.PlanOutcome) => void = () => {};
+
   private readonly listeners: Listener[] = [];
 
   private onEnd: () => void = () => {};
@@ -91,6 +94,8 @@
       this.receiveState(message);
     } else if (message.kind === 'update') {
       this.receiveUpdate(message);
+    } else if (message.kind === 'planned') {
+      this.onPlanned(message.planId, message.outcome);
     } else if (message.kind === 'zones') {
       this.closedZones = message.closed;
     } else if (message.kind === 'document') {
