--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -30,6 +30,8 @@
 const ROOM_RETRY_MS = 20;
 /** Weight of a new sample in the average duration of requests. */
 const DURATION_SAMPLE_WEIGHT = 0.1;
+/** Shared parts whose home engine is remembered. */
+const MAX_HOMES = 10_000;
 /** Assumed duration of requests before the first one has ended. */
 const INITIAL_DURATION_MS = 500;
 
@@ -66,6 +68,9 @@
 
   private readonly placedRequests = new Map<string, IPlacedRequest>();
 
+  /** Home engines among all engines, by the id of the shared part. */
+  private readonly homes = new Map<string, string>();
+
   private limits: routing.IEngineLimits;
 
   /** Average time from the placement of a request to its end, at least 1 ms. */
@@ -84,6 +89,7 @@
   /** Replaces the ready endpoints and the limits; endpoints that remain keep their state. */
   updateEndpoints(endpoints: readonly routing.IEndpoint[], limits: routing.IEngineLimits): void {
     this.limits = limits;
+    this.homes.clear();
     const versions = new Map(endpoints.map(({ id, version }) => [id, version]));
     [...this.engines]
       .filter(([id, { endpoint }]) => !versions.has(id) || versions.get(id) !== endpoint.version)
@@ -138,16 +144,15 @@
    * brittle either. A brittle engine accepts as many as it runs at the same time, each for the usual duration.
    */
   get rateLimit(): number | undefined {
-    const rates = [...this.engines.values()].map(({ endpoint }) => {
-      const rate = this.rateLimiter.rateOf(endpoint.id);
-      const isBounded = this.rooms.isBounded(endpoint);
-      const capacity = isBounded ? (endpoint.slots * 1000) / this.usualDuration : undefined;
-      return rate === undefined || capacity === undefined
-        ? (rate ?? capacity)
-        : Math.min(rate, capacity);
-    });
-    const isUnlimited = rates.length === 0 || rates.includes(undefined);
-    return isUnlimited ? undefined : rates.reduce<number>((sum, rate) => sum + (rate ?? 0), 0);
+    let sum: number | undefined;
+    for (const { endpoint } of this.engines.values()) {
+      const rate = this.acceptedRate(endpoint);
+      if (rate === undefined) {
+        return undefined;
+      }
+      sum = (sum ?? 0) + rate;
+    }
+    return sum;
   }
 
   /** What the engine of a request has to do before its first token; undefined if the request is on no engine. */
@@ -255,7 +260,7 @@
    * Availability zone of the engine that has most of a prompt cached, or else of the home engine of its shared part.
    */
   preferredZone(prompt: types.IPrompt): string | undefined {
-    const home = homeEngine.homeEngineOf([...this.engines.values()], prompt);
+    const home = this.homeOf([...this.engines.values()], prompt);
     let mostCached = 0;
     let zone = this.engines.get(home)?.endpoint.availabilityZone;
     this.engines.forEach(({ endpoint, promptCache }) => {
@@ -273,10 +278,38 @@
     return PREFILL_WINDOW_MS / 2;
   }
 
+  /** Requests per second that an engine accepts; undefined if they are not limited. */
+  private acceptedRate(endpoint: routing.IEndpoint): number | undefined {
+    const rate = this.rateLimiter.rateOf(endpoint.id);
+    if (!this.rooms.isBounded(endpoint)) {
+      return rate;
+    }
+    const capacity = (endpoint.slots * 1000) / this.usualDuration;
+    return rate === undefined ? capacity : Math.min(rate, capacity);
+  }
+
   private hasRoom({ endpoint, placedRequestCount }: engineState.EngineState): boolean {
     return this.rooms.hasRoom(endpoint, placedRequestCount);
   }
 
+  /** Home engine of a prompt among `engines`, which are all engines as a rule. */
+  private homeOf(engines: readonly engineState.EngineState[], prompt: types.IPrompt): string {
+    const sharedPartId = prompt.parts.at(-2)?.id;
+    if (sharedPartId === undefined || engines.length < this.engines.size) {
+      return homeEngine.homeEngineOf(engines, prompt);
+    }
+    const known = this.homes.get(sharedPartId);
+    if (known !== undefined) {
+      return known;
+    }
+    if (this.homes.size >= MAX_HOMES) {
+      this.homes.clear();
+    }
+    const home = homeEngine.homeEngineOf(engines, prompt);
+    this.homes.set(sharedPartId, home);
+    return home;
+  }
+
   private enginesFor({
     avoid,
     version,
@@ -307,7 +340,7 @@
     req: types.IPlacementRequest,
   ): engineState.EngineState | undefined {
     const fullThreshold = this.limits.slots * FULL_SLOTS_RATIO;
-    const home = homeEngine.homeEngineOf(engines, req.prompt);
+    const home = this.homeOf(engines, req.prompt);
     const sharedTokens = req.prompt.parts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0);
     const pace = engineSpeeds.medianPace([...this.engines.values()]);
     const now = this.clock.monotonic();
--- a/src/ratelimit/EndpointRates.ts
+++ b/src/ratelimit/EndpointRates.ts
@@ -15,8 +15,10 @@
 
   /** @inheritdoc */
   limitOf(endpointId: string): number | undefined {
-    const limits = this.sources.flatMap((source) => source.limitOf(endpointId) ?? []);
-    return limits.length === 0 ? undefined : Math.min(...limits);
+    return this.sources.reduce<number | undefined>((lowest, source) => {
+      const limit = source.limitOf(endpointId);
+      return limit === undefined || (lowest !== undefined && lowest < limit) ? lowest : limit;
+    }, undefined);
   }
 
   /** @inheritdoc */
