--- a/src/gateway/AnswerBody.ts
+++ b/src/gateway/AnswerBody.ts
@@ -24,13 +24,16 @@
   maxBytes: number,
   memory?: byteBudget.ByteBudget,
 ): Promise<BodyResult> {
+  if (memory === undefined) {
+    return readUnbudgeted(body, isComplete, maxBytes);
+  }
   const received = new growingBuffer.GrowingBuffer();
-  const lease = memory?.lease('answer');
+  const lease = memory.lease('answer');
   try {
     for await (const chunk of body) {
       received.append(chunk as Buffer);
-      while (lease?.resize(received.length) === false && !body.destroyed) {
-        await memory?.freed();
+      while (!lease.resize(received.length) && !body.destroyed) {
+        await memory.freed();
       }
       if (received.length > maxBytes) {
         return { fault: `body exceeds ${maxBytes} bytes` };
@@ -39,11 +42,34 @@
   } catch (err) {
     return { fault: (err as Error).message };
   } finally {
-    lease?.dispose();
+    lease.dispose();
   }
   return isComplete() ? { body: received.take() } : { fault: 'body truncated' };
 }
 
+/** Reads a body of which no part has to wait for memory. */
+function readUnbudgeted(
+  body: stream.Readable,
+  isComplete: () => boolean,
+  maxBytes: number,
+): Promise<BodyResult> {
+  const received = new growingBuffer.GrowingBuffer();
+  return new Promise((resolve) => {
+    body.on('data', (chunk: Buffer) => {
+      received.append(chunk);
+      if (received.length > maxBytes) {
+        resolve({ fault: `body exceeds ${maxBytes} bytes` });
+        body.destroy();
+      }
+    });
+    body.once('error', (err) => resolve({ fault: err.message }));
+    body.once('end', () =>
+      resolve(isComplete() ? { body: received.take() } : { fault: 'body truncated' }),
+    );
+    body.once('close', () => resolve({ fault: 'body truncated' }));
+  });
+}
+
 /**
  * Reads the body of a rejection and drops it, so that the connection can be reused. Resolves with the reason if the
  * body is too long or does not end in time; the call must then be cancelled.
