--- a/src/coordination/Coordinator.ts
+++ b/src/coordination/Coordinator.ts
@@ -36,6 +36,8 @@
   readonly rejectionLimits?: rateLimitTable.RateLimitTable;
   /** Software versions that began the streams of requests; absent if nothing else records them. */
   readonly streams?: streamVersions.StreamVersions;
+  /** Whether `directory` has all endpoints that other VMs may use by now; absent if it always has. */
+  readonly isListCurrent?: () => boolean;
   /** Decides on second engines for late requests; absent if there are none. */
   readonly hedgePolicy?: hedging.IHedgePolicy | undefined;
 }
@@ -104,6 +106,7 @@
       deps.directory,
       (service) => this.placers.has(service),
       deps.streams ?? new streamVersions.StreamVersions(deps.clock),
+      deps.isListCurrent ?? (() => true),
     );
     this.subscription = deps.directory.onChange(() => this.updateServices());
     this.releaser = new resultReleaser.ResultReleaser(deps, (service) =>
--- a/src/coordination/CoordinatorVersions.test.ts
+++ b/src/coordination/CoordinatorVersions.test.ts
@@ -19,6 +19,7 @@
   let directory: endpointDirectory.EndpointDirectory;
   let coordinator: coordinators.Coordinator;
   let serial = 0;
+  let isListCurrent = true;
 
   function list(...versions: readonly string[]): void {
     const endpoints = versions.map((version, at) => ({
@@ -34,12 +35,14 @@
   }
 
   beforeEach(() => {
+    isListCurrent = true;
     clock = new manualClock.ManualClock();
     directory = new endpointDirectory.EndpointDirectory();
     coordinator = new coordinators.Coordinator({
       clock,
       caller: { run: async () => [], free: async () => true },
       directory,
+      isListCurrent: () => isListCurrent,
       ...blame.makeBlame(clock),
       rateLimiter: new unlimitedRateLimiter.UnlimitedRateLimiter(),
       logService: new recordingLog.RecordingLogService(),
@@ -117,6 +120,18 @@
     expect(await plan('next', { continuedId: 'never' }, AT_ONCE_MS)).toBe('v2');
   });
 
+  it('takes no version for the only one while the list of endpoints may be old', async () => {
+    list('v1');
+    await clock.advance(2 * FORGOTTEN_MS);
+    await plan('first', {}, AT_ONCE_MS);
+    // Engines of another version may have joined and begun the stream since the list was read.
+    isListCurrent = false;
+    expect(await plan('next', { continuedId: 'elsewhere' })).toBe('version-unknown');
+    expect(await plan('next', { continuedId: 'first' }, AT_ONCE_MS)).toBe('v1');
+    isListCurrent = true;
+    expect(await plan('next', { continuedId: 'elsewhere' }, AT_ONCE_MS)).toBe('v1');
+  });
+
   it('follows an engine that has another version under the same id', async () => {
     list('v1');
     const [endpoint] = directory.current.endpoints;
--- a/src/coordination/PlanVersions.ts
+++ b/src/coordination/PlanVersions.ts
@@ -20,6 +20,8 @@
     private readonly hasEngines: (service: string) => boolean,
     /** Software versions that began the streams of requests. */
     readonly streams: streamVersions.StreamVersions,
+    /** Whether `directory` has all endpoints that other VMs may use by now. */
+    private readonly isListCurrent: () => boolean,
   ) {}
 
   /** Whether a request continues a stream whose version is not known. */
@@ -32,6 +34,9 @@
     if (version !== undefined || continuedId === undefined) {
       return version;
     }
+    if (!this.isListCurrent()) {
+      return this.streams.recordedVersionOf(continuedId);
+    }
     this.recordListed();
     return this.streams.versionOf(continuedId, service);
   }
--- a/src/coordination/StreamVersions.ts
+++ b/src/coordination/StreamVersions.ts
@@ -142,10 +142,13 @@
    * const version = streams.versionOf('r-1', 'llm');
    */
   versionOf(requestId: string, service: string): string | undefined {
+    return this.recordedVersionOf(requestId) ?? this.onlyVersionOf(service);
+  }
+
+  /** Version that began the stream of a request, if it is recorded. */
+  recordedVersionOf(requestId: string): string | undefined {
     const stream = this.streams.get(requestId);
-    return stream !== undefined && this.isRecent(stream.at)
-      ? stream.version
-      : this.onlyVersionOf(service);
+    return stream !== undefined && this.isRecent(stream.at) ? stream.version : undefined;
   }
 
   /** The latest streams, for another VM. */
--- a/src/routing/EndpointPoller.ts
+++ b/src/routing/EndpointPoller.ts
@@ -21,6 +21,9 @@
 
   private failures = 0;
 
+  /** Time at which the latest successful read began. */
+  private readAt: commonTypes.Millis = Number.NEGATIVE_INFINITY;
+
   /**
    * Starts polling at once. The list is read every `interval` milliseconds, with a random jitter of up to 10 %
    * either way, while `isActive()` returns true; otherwise `isActive()` is checked four times per interval.
@@ -39,6 +42,11 @@
     void this.run();
   }
 
+  /** Time since the latest successful read began; infinite before the first one. */
+  get age(): commonTypes.Millis {
+    return this.options.clock.monotonic() - this.readAt;
+  }
+
   /** @inheritdoc */
   dispose(): void {
     this.abortController.abort(new Error('endpoint poller disposed'));
@@ -62,9 +70,11 @@
   }
 
   private async readOnce(): Promise<void> {
-    const { logService } = this.options;
+    const { clock, logService } = this.options;
+    const startedAt = clock.monotonic();
     try {
       const endpoints = await this.source.read();
+      this.readAt = startedAt;
       if (this.failures > 0) {
         logService.info('endpoint-list-regained', { failures: this.failures });
       }
