--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -20,6 +20,7 @@
 import * as listRequests from './ListRequests.js';
 import * as newsFeed from './NewsFeed.js';
 import * as pacedSender from './PacedSender.js';
+import * as planAdmission from './PlanAdmission.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
@@ -30,6 +31,8 @@
 
 /** Interval of the state messages to each entry VM. */
 const STATE_INTERVAL_MS = 250;
+/** Interval of the state messages to VMs that stand by; a change of the leader is sent at once. */
+const STANDBY_STATE_INTERVAL_MS = 1000;
 /** A session that has sent no message for this long is closed. */
 const SESSION_SILENCE_TIMEOUT_MS = 3000;
 /**
@@ -44,6 +47,18 @@
 /** Time for which the highest number of entry VMs is reported, so that it does not fall while they change connections. */
 const ENTRY_COUNT_WINDOW_MS = 10_000;
 
+/** Interval of the log lines on the load of a coordinator. */
+const LOAD_INTERVAL_MS = 1000;
+const MICROS_PER_MS = 1000;
+
+/**
+ * Longest time that plan requests wait before new ones of each priority are refused: a coordinator that is later loses
+ * more requests by its delay than it gains. The last value applies to all less urgent priorities.
+ */
+const MAX_PLAN_WAITS_MS: readonly commonTypes.Millis[] = [200, 150, 100];
+/** The same as a part of the request's goal. */
+const MAX_PLAN_WAIT_GOAL_RATIO = 1 / 8;
+
 /** Time after which the caller of a plan that failed for an unexpected error may come back. */
 const FAILED_PLAN_RETRY_MS = 1000;
 
@@ -73,7 +88,10 @@
 
 interface ISession {
   readonly stream: sessionStream.SessionStream;
+  /** Name of the VM; empty before its `hello`. */
   vm: string;
+  /** Whether the VM uses another control VM so far. */
+  isStandby: boolean;
   version: number;
   /** Revision of the set of closed zones that was sent to the VM in this session. */
   zonesRevision: number;
@@ -137,11 +155,17 @@
 
   private isCoordinating = false;
 
+  /** Number of connections that were ever accepted. */
+  private openedSessions = 0;
+
   /** Endpoint list that was sent to all entry VMs last. */
   private sentList: routing.IEndpointList | undefined;
 
   private leaderSeenAt: commonTypes.Millis;
 
+  /** Role and leader in the latest state that was sent to VMs that stand by, and when. */
+  private standbyState = { summary: '', sentAt: 0 };
+
   private readonly recentEntryCount: recentMaximum.RecentMaximum;
 
   private readonly traffic: feedTraffic.FeedTraffic;
@@ -191,7 +215,7 @@
     );
     this.blameExchange = new blameExchange.BlameExchange(deps.blameTable, clock, ({ news }) =>
       this.news.send(
-        [...this.sessions].map(({ stream }) => stream),
+        this.greetedSessions.map(({ stream }) => stream),
         news,
       ),
     );
@@ -199,7 +223,7 @@
       deps.clock,
       deps.random,
       () =>
-        [...this.sessions].map(({ relay, stream }) => ({
+        this.greetedSessions.map(({ relay, stream }) => ({
           relay,
           send: (message) => stream.write(message),
         })),
@@ -218,6 +242,7 @@
       deps.log.onLeadership((leads) => this.handleLeadership(leads)),
     );
     void this.runStateLoop();
+    void this.runLoadLoop();
   }
 
   /** Whether this control VM plans requests: it leads the group, or led it last and has seen no newer leader. */
@@ -231,6 +256,11 @@
     return new Set(names).size;
   }
 
+  /** Sessions of VMs that use this control VM; the others stand by. */
+  private get greetedSessions(): readonly ISession[] {
+    return [...this.sessions].filter(({ vm }) => vm !== '');
+  }
+
   /** @inheritdoc */
   dispose(): void {
     this.stopController.abort(new Error('feed server disposed'));
@@ -247,12 +277,37 @@
     }
   }
 
+  /** Logs what a coordinator has to do, and the part of a processor that its process uses for it. */
+  private async runLoadLoop(): Promise<void> {
+    const { clock, logService, coordinator: planner } = this.deps;
+    const { signal } = this.stopController;
+    while (!signal.aborted) {
+      const startedAt = clock.monotonic();
+      const usage = process.cpuUsage();
+      const opened = this.openedSessions;
+      await clock.sleep(LOAD_INTERVAL_MS, signal).catch(() => {});
+      const { user, system } = process.cpuUsage(usage);
+      const took = Math.max(1, clock.monotonic() - startedAt);
+      if (this.isCoordinating) {
+        logService.info('coordinator-load', {
+          processor: ((user + system) / MICROS_PER_MS / took).toFixed(2),
+          late: Math.round(took - LOAD_INTERVAL_MS),
+          vms: this.entryCount,
+          opened: this.openedSessions - opened,
+          waitingMessages: this.inbox.length,
+          plans: planner.planCount,
+        });
+      }
+    }
+  }
+
   private openSession(stream: sessionStream.ServerStream): void {
     const now = this.deps.clock.monotonic();
     const plans = new Map<string, PlanProgress>();
     const session: ISession = {
       stream: new sessionStream.SessionStream(stream, this.traffic),
       vm: '',
+      isStandby: false,
       version: 0,
       zonesRevision: 0,
       hasConfiguration: false,
@@ -263,6 +318,7 @@
       pendingResults: [],
     };
     this.sessions.add(session);
+    this.openedSessions += 1;
     stream.on('data', (message: types.UpMessage) => this.receive(session, message));
     stream.on('error', (err: Error) => this.closeSession(session, err.message));
     stream.on('end', () => this.closeSession(session, 'ended'));
@@ -273,7 +329,9 @@
     if (!this.sessions.delete(session)) {
       return;
     }
-    this.deps.logService.info('feed-closed', { vm: session.vm, reason });
+    if (!session.isStandby) {
+      this.deps.logService.info('feed-closed', { vm: session.vm, reason });
+    }
     session.stream.end();
     this.roomExchange.disconnect(session.vm);
     this.abandonPlans(session);
@@ -321,10 +379,18 @@
       .forEach((session) => this.closeSession(session, 'silent'));
   }
 
-  /** Handles a message in its turn, so that what many VMs send at once does not hold up heartbeats of the group. */
+  /**
+   * Handles a message in its turn, so that what many VMs send at once does not hold up heartbeats of the group. Plan
+   * requests come last, because all other messages end plans or free what plans wait for; if they already wait too long, a
+   * new one is refused at once.
+   */
   private receive(session: ISession, message: types.UpMessage): void {
     Object.assign(session, { lastReceivedAt: this.deps.clock.monotonic() });
     const { kind } = message;
+    if (kind === 'plan') {
+      this.receivePlan(session, message.plan);
+      return;
+    }
     const handle = (): void => {
       if (this.sessions.has(session) || OUTLIVING_KINDS.has(kind)) {
         this.handleMessage(session, message);
@@ -333,6 +399,45 @@
     this.inbox.add(handle, URGENT_KINDS.has(kind) ? 'high' : 'normal');
   }
 
+  private receivePlan(session: ISession, plan: types.IPlanRequest): void {
+    const maxWait = maxPlanWait(plan);
+    const mayRefuse = plan.held.length === 0 && plan.continuedId === undefined;
+    const waited = this.inbox.waitOf('low');
+    if (mayRefuse && waited > maxWait) {
+      this.refuseLatePlan(session, plan, waited);
+      return;
+    }
+    session.plans.set(plan.planId, 'pending');
+    this.inbox.add((delay) => {
+      if (!this.sessions.has(session) || !session.plans.has(plan.planId)) {
+        return;
+      }
+      if (mayRefuse && delay > maxWait) {
+        this.refuseLatePlan(session, plan, delay);
+        return;
+      }
+      const goalLeft = Math.max(1, plan.goalLeft - delay);
+      this.startPlan(session, { ...plan, goalLeft, deadlineLeft: plan.deadlineLeft - delay });
+    }, 'low');
+  }
+
+  /** Refuses a plan that this coordinator would begin too late, without planning it. */
+  private refuseLatePlan(
+    session: ISession,
+    plan: types.IPlanRequest,
+    waited: commonTypes.Millis,
+  ): void {
+    const { logService, metrics } = this.deps;
+    const { planId, requestId, service, priority } = plan;
+    session.plans.delete(planId);
+    const outcome = planAdmission.refuseOverloaded(plan);
+    const { reason, retryAfter } = outcome;
+    const fields = { request: requestId, service, priority, reason, retryAfter };
+    logService.info('plan-refused', { ...fields, inboxWait: Math.round(waited) });
+    metrics.count('plan_refused_by_inbox');
+    session.stream.write({ kind: 'planned', planId, outcome });
+  }
+
   private handleMessage(session: ISession, message: types.UpMessage): void {
     const { coordinator: planner } = this.deps;
     const send = (down: types.DownMessage): void => {
@@ -353,9 +458,10 @@
         session.stream.write(this.buildState());
         session.stream.end();
         break;
-      case 'plan':
-        session.plans.set(message.plan.planId, 'pending');
-        this.startPlan(session, message.plan);
+      case 'standby':
+        Object.assign(session, { isStandby: true });
+        this.refreshRole();
+        session.stream.write(this.buildState());
         break;
       case 'spare':
         planner.freeResults(message.records);
@@ -425,7 +531,7 @@
   }
 
   private handleHello(session: ISession, vm: string, version: number): void {
-    Object.assign(session, { vm, hasConfiguration: version > 0, version });
+    Object.assign(session, { vm, isStandby: false, hasConfiguration: version > 0, version });
     this.refreshRole();
     this.deps.logService.info('feed-opened', { vm, version, leads: this.isCoordinating });
     session.stream.write(this.buildState(this.takeListRequest(session)));
@@ -465,7 +571,7 @@
       const fields = { vm: session.vm, revision, endpoints: endpoints.length };
       logService.info('endpoints-taken-over', fields);
       directory.replace(list);
-      this.broadcast(this.buildState());
+      this.sendState();
     }
   }
 
@@ -543,7 +649,7 @@
       .forEach(({ session }) => session.stream.write(this.buildState(true)));
   }
 
-  private buildState(wantsEndpoints = false): types.DownMessage {
+  private buildState(wantsEndpoints = false): types.DownMessage & { readonly kind: 'state' } {
     const { term, leaderId, members, role, isStateCurrent } = this.deps.log.status();
     const newestDocument = isStateCurrent ? this.deps.document.current?.version : undefined;
     const leader = members.find((member) => member.id === leaderId)?.address;
@@ -563,7 +669,7 @@
   private broadcastState(): void {
     this.refreshRole();
     this.recentEntryCount.record(this.entryCount);
-    this.broadcast(this.buildState());
+    this.sendState();
     this.askForEndpoints();
     this.broadcastDocument();
   }
@@ -577,7 +683,7 @@
   }
 
   private broadcastDocument(): void {
-    this.sessions.forEach((session) => this.sendDocumentTo(session));
+    this.greetedSessions.forEach((session) => this.sendDocumentTo(session));
   }
 
   /**
@@ -601,7 +707,7 @@
   private handleEndpoints(list: routing.IEndpointList): void {
     if (list !== this.sentList) {
       this.sentList = list;
-      this.sessions.forEach((session) => this.sendEndpointsTo(session));
+      this.greetedSessions.forEach((session) => this.sendEndpointsTo(session));
     }
   }
 
@@ -630,12 +736,30 @@
     }
   }
 
-  /** Encodes a message once and sends it to all entry VMs. */
+  /** Sends the state to all entry VMs; to those that stand by only from time to time, or if another VM leads. */
+  private sendState(): void {
+    const state = this.buildState();
+    const { leads, confirmed, term, leader } = state;
+    const summary = [leads, confirmed, term, leader].join(' ');
+    const now = this.deps.clock.monotonic();
+    const { summary: sent, sentAt } = this.standbyState;
+    const isStandbyDue = summary !== sent || now - sentAt >= STANDBY_STATE_INTERVAL_MS;
+    if (isStandbyDue) {
+      this.standbyState = { summary, sentAt: now };
+    }
+    this.sendTo(isStandbyDue ? [...this.sessions] : this.greetedSessions, state);
+  }
+
   private broadcast(message: types.DownMessage): void {
+    this.sendTo(this.greetedSessions, message);
+  }
+
+  /** Encodes a message once and sends it to all `sessions`. */
+  private sendTo(sessions: readonly ISession[], message: types.DownMessage): void {
     const { kind } = message;
     const bytes = feedCodec.encode(message);
     this.traffic.recordEncoded(kind);
-    this.sessions.forEach(({ stream }) => stream.writeEncoded(kind, bytes));
+    sessions.forEach(({ stream }) => stream.writeEncoded(kind, bytes));
   }
 
   private handleLeadership(leads: boolean): void {
@@ -654,6 +778,12 @@
   }
 }
 
+function maxPlanWait({ priority, goalLeft }: types.IPlanRequest): commonTypes.Millis {
+  const last = MAX_PLAN_WAITS_MS.length - 1;
+  const limit = MAX_PLAN_WAITS_MS[Math.min(priority, last)] as commonTypes.Millis;
+  return Math.min(limit, goalLeft * MAX_PLAN_WAIT_GOAL_RATIO);
+}
+
 function failureOf(message: types.UpMessage & { readonly kind: 'again' }): types.EngineFailure {
   const { isHealthy = false, isNotRun = false } = message;
   const notRun = isHealthy ? 'limited' : 'not-run';
