--- a/src/coordination/FoundCoordinator.test.ts
+++ b/src/coordination/FoundCoordinator.test.ts
@@ -20,6 +20,13 @@
 const WAITING_PLANS = 4;
 /** Processor time of a coordinator for one plan. */
 const PLAN_COST_MS = 2;
+const PLAN: Partial<types.IPlanRequest> = {
+  priority: 1,
+  pieces: [1],
+  goalLeft: 2000,
+  deadlineLeft: 6000,
+  held: [],
+};
 
 /** A leader to which all entry VMs are connected, and which plans at a cost. */
 async function startFleet() {
@@ -42,7 +49,7 @@
 function sendWaitingPlans({ vms }: feedFleet.FeedFleet): void {
   vms.forEach((vm) => {
     for (let index = 0; index < WAITING_PLANS; index++) {
-      const plan = { planId: `${vm.name}#${index}` } as types.IPlanRequest;
+      const plan = { ...PLAN, planId: `${vm.name}#${index}` } as types.IPlanRequest;
       vm.send({ kind: 'plan', plan });
     }
   });
