--- a/src/coordination/FoundCoordinator.test.ts
+++ b/src/coordination/FoundCoordinator.test.ts
@@ -22,7 +22,7 @@
 const PLAN_COST_MS = 2;
 const PLAN: Partial<types.IPlanRequest> = {
   priority: 1,
-  pieces: [1],
+  pieces: [1, 1],
   goalLeft: 2000,
   deadlineLeft: 6000,
   held: [],
