--- a/src/coordination/FeedServer.ts
+++ b/src/coordination/FeedServer.ts
@@ -21,6 +21,7 @@
 import * as newsFeed from './NewsFeed.js';
 import * as pacedSender from './PacedSender.js';
 import * as planAdmission from './PlanAdmission.js';
+import * as planShape from './PlanShape.js';
 import * as rateLimitExchange from './RateLimitExchange.js';
 import * as relayExchange from './RelayExchange.js';
 import * as roomExchange from './RoomExchange.js';
@@ -58,6 +59,8 @@
 const MAX_PLAN_WAITS_MS: readonly commonTypes.Millis[] = [200, 150, 100];
 /** The same as a part of the request's goal. */
 const MAX_PLAN_WAIT_GOAL_RATIO = 1 / 8;
+/** The same for a request with one stage or none, as a part of that for longer chains: its VM can plan it alone. */
+const SINGLE_STAGE_WAIT_RATIO = 0.5;
 
 /** Time after which the caller of a plan that failed for an unexpected error may come back. */
 const FAILED_PLAN_RETRY_MS = 1000;
@@ -430,7 +433,7 @@
     const { logService, metrics } = this.deps;
     const { planId, requestId, service, priority } = plan;
     session.plans.delete(planId);
-    const outcome = planAdmission.refuseOverloaded(plan);
+    const outcome = { ...planAdmission.refuseOverloaded(plan), isPlannerBusy: true };
     const { reason, retryAfter } = outcome;
     const fields = { request: requestId, service, priority, reason, retryAfter };
     logService.info('plan-refused', { ...fields, inboxWait: Math.round(waited) });
@@ -778,10 +781,12 @@
   }
 }
 
-function maxPlanWait({ priority, goalLeft }: types.IPlanRequest): commonTypes.Millis {
+function maxPlanWait(plan: types.IPlanRequest): commonTypes.Millis {
+  const { priority, goalLeft } = plan;
   const last = MAX_PLAN_WAITS_MS.length - 1;
   const limit = MAX_PLAN_WAITS_MS[Math.min(priority, last)] as commonTypes.Millis;
-  return Math.min(limit, goalLeft * MAX_PLAN_WAIT_GOAL_RATIO);
+  const ratio = planShape.isChain(plan) ? 1 : SINGLE_STAGE_WAIT_RATIO;
+  return Math.min(limit, goalLeft * MAX_PLAN_WAIT_GOAL_RATIO) * ratio;
 }
 
 function failureOf(message: types.UpMessage & { readonly kind: 'again' }): types.EngineFailure {
--- a/src/coordination/Types.ts
+++ b/src/coordination/Types.ts
@@ -71,6 +71,8 @@
   readonly reason: PlanRefusal;
   /** Time after which the caller may retry. */
   readonly retryAfter: commonTypes.Millis;
+  /** Whether the planner had no time for the request, so that stages and engines may have room for it. */
+  readonly isPlannerBusy?: boolean;
 }
 
 /**
--- a/src/gateway/FallbackPlanner.test.ts
+++ b/src/gateway/FallbackPlanner.test.ts
@@ -56,3 +56,47 @@
   ]);
   expect(log.events.map(({ event }) => event)).toEqual(['planning-alone', 'plans-handed-back']);
 });
+
+test.each([
+  { pieces: [2], plansItself: true },
+  { pieces: [0, 0], plansItself: true },
+  { pieces: [0, 1, 4], plansItself: false },
+])(
+  'plans a request itself for which the coordinator has no time, unless it is a chain: $pieces',
+  async ({ pieces, plansItself }) => {
+    const clock = new manualClock.ManualClock();
+    const log = new recordingLog.RecordingLogService();
+    const busy = { kind: 'refused', reason: 'overloaded', retryAfter: 900, isPlannerBusy: true };
+    const coordinator = {
+      isConnected: true,
+      onCoordinatorFound: new emitter.Emitter<void>().event,
+      resultsOf: () => [],
+      forget: () => {},
+      plan: async () => {
+        await clock.sleep(150);
+        return busy;
+      },
+    } as unknown as fallbackPlanner.ICoordinatorPlanner;
+    const planned: coordination.IPlanRequest[] = [];
+    const ready = { kind: 'ready', endpoint: { id: 'e' }, inputs: [] };
+    const started: string[] = [];
+    const local = {
+      plan: async (req: coordination.IPlanRequest) => {
+        planned.push(req);
+        return ready;
+      },
+      markStarted: (planId: string) => started.push(planId),
+    } as unknown as fallbackPlanner.ILocalPlanner;
+    const planner = new fallbackPlanner.FallbackPlanner(coordinator, local, clock, log);
+    const req = { planId: 'r#1', goalLeft: 1000, deadlineLeft: 9000, held: [], pieces };
+    const outcome = planner.plan(req as unknown as coordination.IPlanRequest);
+    await clock.advance(1000);
+    expect(await outcome).toEqual(plansItself ? ready : busy);
+    const left = [{ planId: 'r#1', goalLeft: 850, deadlineLeft: 8850 }];
+    expect(planned).toMatchObject(plansItself ? left : []);
+    if (plansItself) {
+      planner.markStarted('r#1', true);
+      expect(started).toEqual(['r#1']);
+    }
+  },
+);
--- a/src/gateway/FallbackPlanner.ts
+++ b/src/gateway/FallbackPlanner.ts
@@ -2,6 +2,7 @@
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import * as heldResults from '../coordination/HeldResults.js';
+import * as planShape from '../coordination/PlanShape.js';
 import type * as coordination from '../coordination/Types.js';
 import type * as routing from '../routing/Types.js';
 
@@ -77,7 +78,10 @@
     const held = this.takeResults(req.replaces);
     const deadlineLeft = req.deadlineLeft - waited;
     const updated = { ...req, goalLeft, deadlineLeft, held };
-    const outcome = await (isLocal ? this.planLocally(updated) : this.coordinator.plan(updated));
+    const first = await (isLocal ? this.planLocally(updated) : this.coordinator.plan(updated));
+    const isOverflow =
+      first.kind === 'refused' && first.isPlannerBusy === true && !planShape.isChain(req);
+    const outcome = isOverflow ? await this.planOverflow(req, started) : first;
     if (outcome.kind === 'refused') {
       this.plannerByPlan.delete(req.planId);
     }
@@ -85,13 +89,17 @@
   }
 
   private async planLocally(req: coordination.IPlanRequest): Promise<coordination.PlanOutcome> {
-    const { planId } = req;
     if (!this.plansAlone) {
       this.plansAlone = true;
       this.logService.warn('planning-alone', {
         lostFor: Math.round(this.coordinator.disconnectedFor),
       });
     }
+    return this.planHere(req);
+  }
+
+  private async planHere(req: coordination.IPlanRequest): Promise<coordination.PlanOutcome> {
+    const { planId } = req;
     this.pendingLocally.add(planId);
     this.localResults.track(planId, 0, req.held);
     const outcome = await this.local.plan(req, (record) => this.localResults.add(planId, record));
@@ -102,6 +110,25 @@
     return outcome;
   }
 
+  /**
+   * Plans a request on this VM for which the coordinator has no time; what the stages can do decides on it. Not one with several
+   * stages: its results would hold room for later stages that this VM can not count on.
+   */
+  private planOverflow(
+    req: coordination.IPlanRequest,
+    started: commonTypes.Millis,
+  ): Promise<coordination.PlanOutcome> {
+    const { planId } = req;
+    if (!this.plannerByPlan.has(planId)) {
+      return Promise.resolve({ kind: 'refused', reason: 'lost', retryAfter: CONNECTION_CHECK_MS });
+    }
+    this.plannerByPlan.set(planId, this.local);
+    this.logService.info('planning-overflow', { plan: planId });
+    const waited = this.clock.monotonic() - started;
+    const goalLeft = Math.max(1, req.goalLeft - waited);
+    return this.planHere({ ...req, goalLeft, deadlineLeft: req.deadlineLeft - waited });
+  }
+
   private handBack(): void {
     if (this.plansAlone) {
       this.plansAlone = false;
