--- a/src/gateway/FallbackPlanner.test.ts
+++ b/src/gateway/FallbackPlanner.test.ts
@@ -59,11 +59,12 @@
 
 test.each([
   { pieces: [2], plansItself: true },
+  { pieces: [2], isLimited: true, plansItself: false },
   { pieces: [0, 0], plansItself: true },
   { pieces: [0, 1, 4], plansItself: false },
 ])(
-  'plans a request itself for which the coordinator has no time, unless it is a chain: $pieces',
-  async ({ pieces, plansItself }) => {
+  'plans a request itself for which the coordinator has no time: $pieces, endpoints limited: $isLimited, $plansItself',
+  async ({ pieces, isLimited = false, plansItself }) => {
     const clock = new manualClock.ManualClock();
     const log = new recordingLog.RecordingLogService();
     const busy = { kind: 'refused', reason: 'overloaded', retryAfter: 900, isPlannerBusy: true };
@@ -87,7 +88,13 @@
       },
       markStarted: (planId: string) => started.push(planId),
     } as unknown as fallbackPlanner.ILocalPlanner;
-    const planner = new fallbackPlanner.FallbackPlanner(coordinator, local, clock, log);
+    const planner = new fallbackPlanner.FallbackPlanner(
+      coordinator,
+      local,
+      clock,
+      log,
+      () => !isLimited,
+    );
     const req = { planId: 'r#1', goalLeft: 1000, deadlineLeft: 9000, held: [], pieces };
     const outcome = planner.plan(req as unknown as coordination.IPlanRequest);
     await clock.advance(1000);
--- a/src/gateway/FallbackPlanner.ts
+++ b/src/gateway/FallbackPlanner.ts
@@ -53,6 +53,8 @@
     private readonly local: ILocalPlanner,
     private readonly clock: commonTypes.IClock,
     private readonly logService: commonServices.ILogService,
+    /** Whether this VM may plan beside a coordinator: not where endpoints bear a rate that only one planner can keep to. */
+    private readonly mayOverflow: () => boolean = () => true,
   ) {
     this.localResults = new heldResults.HeldResults(clock);
     coordinator.onCoordinatorFound(() => this.handBack());
@@ -80,7 +82,10 @@
     const updated = { ...req, goalLeft, deadlineLeft, held };
     const first = await (isLocal ? this.planLocally(updated) : this.coordinator.plan(updated));
     const isOverflow =
-      first.kind === 'refused' && first.isPlannerBusy === true && !planShape.isChain(req);
+      first.kind === 'refused' &&
+      first.isPlannerBusy === true &&
+      !planShape.isChain(req) &&
+      this.mayOverflow();
     const outcome = isOverflow ? await this.planOverflow(req, started) : first;
     if (outcome.kind === 'refused') {
       this.plannerByPlan.delete(req.planId);
