Review case 7: short prompt parts end all control programs

Tried: 48 callers send streams of legal size whose Prompt-Prefix lists up to 1,850 parts of one token; three control and three entry programs, eight engines; programs that end are started again after 1 s.

--- a/review/lib-2/Fleet.mjs
+++ b/review/lib-2/Fleet.mjs
@@ -38,6 +38,8 @@
     this.children = new Map();
     this.servers = [];
     this.instances = [];
+    this.isStopping = false;
+    this.onEnd = () => {};
     this.startedAt = performance.now();
   }
 
@@ -199,13 +201,29 @@
     });
     fs.closeSync(log);
     this.children.set(name, child);
-    child.once('exit', (code, signal) =>
-      this.record(`${name} ended code=${code} signal=${signal}`),
-    );
+    child.once('exit', (code, signal) => {
+      this.record(`${name} ended code=${code} signal=${signal}`);
+      this.onEnd(role, number, options);
+    });
     this.record(`${name} started`);
     return child;
   }
 
+  /** Starts programs again that end by themselves from now on; returns the number of their ends by name. */
+  restartEnded(delay) {
+    const ends = new Map();
+    this.onEnd = (role, number, options) => {
+      const name = `${role}-${number}`;
+      ends.set(name, (ends.get(name) ?? 0) + 1);
+      setTimeout(() => {
+        if (!this.isStopping) {
+          this.start(role, number, { ...options, isFirst: false });
+        }
+      }, delay);
+    };
+    return ends;
+  }
+
   log(name) {
     return fs.readFileSync(path.join(this.folder, `${name}.log`), 'utf8');
   }
@@ -310,6 +328,8 @@
 
   /** Ends all processes and servers, and removes the temporary folder. */
   async stop() {
+    this.isStopping = true;
+    this.onEnd = () => {};
     const running = [...this.children.values()].filter(
       (child) => child.exitCode === null && child.signalCode === null,
     );
