--- a/src/common/memory/Types.ts
+++ b/src/common/memory/Types.ts
@@ -4,6 +4,8 @@
 export type Purpose =
   /** Open connections, and heads that have not arrived completely. */
   | 'connection'
+  /** Requests that were parsed behind too many others, and are not run. */
+  | 'ahead'
   /** Requests: their fields and their bodies, until the response is sent. */
   | 'request'
   /** Responses of endpoints that are being read. */
--- a/src/gateway/CallerConnection.ts
+++ b/src/gateway/CallerConnection.ts
@@ -10,6 +10,13 @@
  */
 export type ConnectionState = 'request' | 'body' | 'answer';
 
+/** A request that was read completely, and what runs it. */
+export interface ITurn {
+  readonly req: http.IncomingMessage;
+  readonly run: () => void;
+  isStarted: boolean;
+}
+
 /** One connection of a caller, and what the server waits for on it. */
 export interface ICallerConnection {
   readonly socket: net.Socket;
@@ -21,6 +28,14 @@
   state: ConnectionState;
   /** Whether a request has arrived on the connection. */
   isUsed: boolean;
+  /** Whether a request has arrived before the answer to an earlier one. */
+  hasSentAhead: boolean;
+  /** Requests that were taken and whose answer is not sent. */
+  taken: number;
+  /** Requests that were read completely: the one that runs, then those that wait for the answers before them. */
+  readonly turns: ITurn[];
+  /** Charges requests that were parsed but not taken. */
+  aheadLease: memory.IByteLease | undefined;
   /** Requests that were read completely and whose answer is not sent. */
   waitingAnswers: number;
   /** Time of the last progress of the caller, or since which the state lasts. */
@@ -52,6 +67,11 @@
   );
 }
 
+/** Whether the caller has sent requests, each after the answer to the one before. */
+export function isInStep({ isUsed, hasSentAhead }: ICallerConnection): boolean {
+  return isUsed && !hasSentAhead;
+}
+
 /** Returns the state of a connection for the choice of one that gives way. */
 export function viewOf(
   connection: ICallerConnection,
--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -6,6 +6,7 @@
 import type * as commonServices from '../common/services/Services.js';
 import * as callerConnection from './CallerConnection.js';
 import * as sendDeadlines from './SendDeadlines.js';
+import * as stoppedReading from './StoppedReading.js';
 
 /** A connection between two requests closes this long after the idle timeout, for requests sent just before it. */
 const CLOSE_DELAY_MS = 500;
@@ -21,6 +22,15 @@
 /** Memory of a byte of an unfinished head, whose fields are kept as strings. */
 const HEAD_BYTE_BYTES = 12;
 
+/** Requests without an answer on one connection; no more are read until they are answered. */
+const MAX_SENT_AHEAD = 32;
+/** Requests without an answer that are taken on one connection while memory is short. */
+const MAX_SENT_AHEAD_PRESSED = 2;
+/** Requests sent ahead, on all connections, after which those in step are read for a moment and the others are not. */
+const MAX_AHEAD_A_TURN = 64;
+/** Memory of a request that was parsed but not taken; Node keeps it as long as the answers before it. */
+const REFUSED_REQUEST_BYTES = 8192;
+
 /** Why a connection that is not proper is closed. */
 export type CloseCause = 'sent-ahead' | 'not-reading' | 'too-many' | 'no-room';
 
@@ -48,8 +58,13 @@
 
   private isCrowded = false;
 
+  /** Requests sent ahead since reading was last stopped. */
+  private aheadCount = 0;
+
   private readonly sendDeadlines: sendDeadlines.SendDeadlines;
 
+  private readonly reading: stoppedReading.StoppedReading;
+
   /** The timeouts apply until `setTimeouts` is called; `headerTimeout` is the one that the server enforces. */
   constructor(
     private readonly deps: ICallerConnectionsDependencies,
@@ -57,6 +72,7 @@
     private headerTimeout: commonTypes.Millis,
   ) {
     this.sendDeadlines = new sendDeadlines.SendDeadlines(deps);
+    this.reading = new stoppedReading.StoppedReading(deps);
   }
 
   /** Number of open connections. */
@@ -77,6 +93,10 @@
       enteredAt: 0,
       state: 'request',
       isUsed: false,
+      hasSentAhead: false,
+      taken: 0,
+      turns: [],
+      aheadLease: undefined,
       waitingAnswers: 0,
       since: 0,
       bytesBefore: 0,
@@ -97,6 +117,8 @@
     socket.once('close', () => {
       connection.timer?.dispose();
       connection.headLease.dispose();
+      connection.aheadLease?.dispose();
+      this.reading.remove(socket);
       this.connections.delete(socket);
       this.recordClose();
     });
@@ -135,24 +157,39 @@
     }
   }
 
-  /** Number of requests on a connection that were read completely and whose answer is not sent. */
-  waitingAnswers(socket: net.Socket): number {
-    return this.connections.get(socket)?.waitingAnswers ?? 0;
-  }
-
   /** Records that the head of a request has arrived; returns whether the request is taken. */
-  take(req: http.IncomingMessage): boolean {
+  take(req: http.IncomingMessage, res: http.ServerResponse): boolean {
     const connection = this.connections.get(req.socket);
-    if (connection === undefined || !callerConnection.takesRequests(connection)) {
-      this.deps.metrics.count('requests_behind_end');
-      req.socket.pause();
+    if (connection === undefined || req.socket.destroyed) {
       return false;
     }
+    const maxAhead = this.deps.memory.isPressed ? MAX_SENT_AHEAD_PRESSED : MAX_SENT_AHEAD;
+    if (!callerConnection.takesRequests(connection) || connection.taken >= maxAhead) {
+      this.refuse(connection);
+      return false;
+    }
+    if (connection.taken > 0) {
+      connection.hasSentAhead = true;
+      this.countAhead();
+    }
     connection.isUsed = true;
     connection.latest = req;
+    connection.taken += 1;
+    res.once('close', () => this.release(connection, req));
     return true;
   }
 
+  /**
+   * Calls `run` once the requests before `req` are answered. An answer that breaks off ends its connection, so that
+   * nothing behind it may have run by then.
+   */
+  runInTurn(req: http.IncomingMessage, run: () => void): void {
+    const connection = this.connections.get(req.socket);
+    if (connection?.turns.push({ req, run, isStarted: false }) === 1) {
+      CallerConnections.runFirst(connection);
+    }
+  }
+
   /** Lets the connection end with the answer to `req`, unless a later request was taken; returns whether it does. */
   endAfter(req: http.IncomingMessage): boolean {
     const connection = this.connections.get(req.socket);
@@ -188,13 +225,16 @@
   }
 
   /** Records that a request was read completely; the connection waits for the answer until `res` is sent or closed. */
-  startAnswer(req: http.IncomingMessage, res: http.ServerResponse, requestId: string): void {
+  startAnswer(req: http.IncomingMessage, res: http.ServerResponse, requestId = ''): void {
     const { socket } = req;
     const connection = this.connections.get(socket);
     if (connection === undefined) {
       return;
     }
     connection.waitingAnswers += 1;
+    if (connection.taken >= MAX_SENT_AHEAD) {
+      this.reading.stop(socket);
+    }
     this.enterState(connection, 'answer');
     res.once('prefinish', () => this.sendDeadlines.start(socket, res, requestId, this.idleTimeout));
     res.once('close', () => this.endAnswer(connection));
@@ -239,9 +279,78 @@
 
   /** Closes every connection. */
   dispose(): void {
+    this.reading.dispose();
     [...this.connections.keys()].forEach((socket) => socket.destroy());
   }
 
+  /**
+   * Refuses a request that was parsed, but is not taken: the connection ends with the answers to those before it. At the
+   * bound of memory it is closed.
+   */
+  private refuse(connection: callerConnection.ICallerConnection): void {
+    const { socket } = connection;
+    const { memory, metrics } = this.deps;
+    metrics.count('requests_behind_end');
+    const isEnding = connection.last !== undefined || connection.rejection !== undefined;
+    const aheadLease =
+      connection.aheadLease ?? memory.lease('ahead', () => this.close(socket, 'sent-ahead'));
+    Object.assign(connection, {
+      aheadLease,
+      last: isEnding ? connection.last : connection.latest,
+    });
+    this.reading.stop(socket);
+    this.countAhead();
+    if (!aheadLease.resize(aheadLease.bytes + REFUSED_REQUEST_BYTES)) {
+      this.close(socket, 'sent-ahead');
+    }
+  }
+
+  /**
+   * Stops reading for a moment after many requests that were sent ahead: Node parses all that one read brought, and frees
+   * what a closed connection held at the end of its turn. Connections in step are read on.
+   */
+  private countAhead(): void {
+    this.aheadCount += 1;
+    if (this.aheadCount >= MAX_AHEAD_A_TURN) {
+      this.aheadCount = 0;
+      const others = [...this.connections.values()].filter(
+        (connection) => !callerConnection.isInStep(connection),
+      );
+      this.reading.stopAll(others.map(({ socket }) => socket));
+    }
+  }
+
+  /** Ends what `take` began: the next request that waits may run. */
+  private release(connection: callerConnection.ICallerConnection, req: http.IncomingMessage): void {
+    const { socket, turns } = connection;
+    Object.assign(connection, { taken: connection.taken - 1 });
+    const wasRunning = turns[0]?.req === req;
+    if (wasRunning) {
+      turns.shift();
+    }
+    if (socket.destroyed) {
+      return;
+    }
+    if (wasRunning && turns.length > 0) {
+      // In a turn of its own, so that those of other connections come between.
+      setImmediate(() => CallerConnections.runFirst(connection));
+    }
+    if (connection.last === req) {
+      // Its answer may have begun before it became the last one.
+      socket.destroySoon();
+    } else if (connection.taken === 0 && callerConnection.takesRequests(connection)) {
+      this.reading.start(socket);
+    }
+  }
+
+  private static runFirst({ socket, turns }: callerConnection.ICallerConnection): void {
+    const [turn] = turns;
+    if (turn !== undefined && !turn.isStarted && !socket.destroyed) {
+      turn.isStarted = true;
+      turn.run();
+    }
+  }
+
   /** Whether one more connection may be open; closes another one for it if need be. */
   private makeRoom(): boolean {
     const { maxConnections, clock } = this.deps;
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -467,6 +467,14 @@
     expect(cancelCount).toBe(1);
   });
 
+  test('sends nothing for a request whose deadline passed before its turn', async () => {
+    const arrivedAt = clock.monotonic();
+    await clock.advance(1500);
+    reply = () => answerOf(200, 'late');
+    const { outcome } = await request('/write/x', 10, { arrivedAt });
+    expect({ outcome, sent: calls.length }).toEqual({ outcome: 'overloaded', sent: 0 });
+  });
+
   test('cancels the call if the caller disconnects', async () => {
     reply = () => 'silent';
     const responder = await request('/write/x', 100);
--- a/src/gateway/Gateway.ts
+++ b/src/gateway/Gateway.ts
@@ -199,6 +199,12 @@
       this.openScopes.delete(scope);
       this.deps.metrics.timing('request', scope.age, { route: route.kind });
     });
+    if (scope.timeLeft === 0) {
+      // It has waited behind others on its connection.
+      this.timeOut(scope);
+      scope.finish();
+      return;
+    }
     const deps = { ...this.deps, maxConnections: (name: string) => this.maxConnections(name) };
     const isEngine = this.index?.table.services.get(service)?.engine !== undefined;
     const handler = isEngine
