--- a/src/gateway/AnswerBody.test.ts
+++ b/src/gateway/AnswerBody.test.ts
@@ -17,6 +17,7 @@
     mediaType: '',
     isFramed: true,
     isNotRun: true,
+    looksNotRun: false,
     isWrongEndpoint: false,
     namesRateLimit: false,
     load: undefined,
--- a/src/gateway/CallRace.test.ts
+++ b/src/gateway/CallRace.test.ts
@@ -22,6 +22,7 @@
     mediaType: '',
     isFramed: true,
     isNotRun: false,
+    looksNotRun: false,
     isWrongEndpoint: false,
     namesRateLimit: false,
     load: undefined,
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -439,7 +439,12 @@
     }
     this.deps.planner.markStarted(this.planId, false);
     this.inputsReleased = true;
-    scope.responder.answer(answer, result.body);
+    if (answer.looksNotRun && !this.isRepeatable) {
+      // The caller would send the request again, which may have run.
+      this.reject('endpoint-failed');
+    } else {
+      scope.responder.answer(answer, result.body);
+    }
     this.finishAnswered(answer);
     return { kind: 'done' };
   }
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -70,6 +70,7 @@
     mediaType: '',
     isFramed: true,
     isNotRun: false,
+    looksNotRun: false,
     isWrongEndpoint: false,
     namesRateLimit: false,
     load: undefined,
@@ -467,6 +468,27 @@
     expect(cancelCount).toBe(1);
   });
 
+  test.each([
+    ['/write/x', 'endpoint-failed'],
+    ['/read/x', '503'],
+  ])('passes on no promise that an endpoint does not make, for %s', async (target, outcome) => {
+    reply = () => answerOf(503, 'failed', { looksNotRun: true });
+    expect((await request(target)).outcome).toBe(outcome);
+  });
+
+  test.each([
+    [false, 'endpoint-failed'],
+    [true, '503'],
+  ])(
+    'passes on no promise that an engine does not make, for a stream with resumable %s',
+    async (resumable, outcome) => {
+      configureChat({ resumable });
+      planOutcomes = [{ kind: 'ready', endpoint: endpoint('e1'), inputs: [] }];
+      reply = () => answerOf(503, 'failed', { looksNotRun: true });
+      expect((await request('/chat/x')).outcome).toBe(outcome);
+    },
+  );
+
   test('sends nothing for a request whose deadline passed before its turn', async () => {
     const arrivedAt = clock.monotonic();
     await clock.advance(1500);
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -148,10 +148,16 @@
     return deps.balancer.choose(scope.service, { excluded, allowsLimited }) !== undefined;
   }
 
-  private answer(complete: ICompleteAnswer): void {
+  private answer({ answer, body }: ICompleteAnswer): void {
     const { scope } = this;
-    scope.responder.answer(complete.answer, complete.body);
-    this.log('answered', { status: complete.answer.status });
+    if (answer.looksNotRun && !this.isSafe) {
+      // The caller would send the request again, which may have run.
+      this.deps.metrics.count('refused', { reason: 'endpoint-failed' });
+      scope.responder.reject('endpoint-failed');
+    } else {
+      scope.responder.answer(answer, body);
+    }
+    this.log('answered', { status: answer.status });
     scope.finish();
   }
 
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -151,6 +151,8 @@
   readonly isFramed: boolean;
   /** Whether the endpoint states that it did not execute the request. */
   readonly isNotRun: boolean;
+  /** Whether a caller would take its status for a statement that the request was not executed, which it does not make. */
+  readonly looksNotRun: boolean;
   /** Whether the address now belongs to another endpoint, which rejected the request. */
   readonly isWrongEndpoint: boolean;
   /** Whether the response names a rate limit, so that a rejection says nothing about the health of the endpoint. */
