--- a/src/gateway/EndpointTransport.ts
+++ b/src/gateway/EndpointTransport.ts
@@ -304,7 +304,7 @@
 }
 
 function closedError(): types.EndpointCallError {
-  return new types.EndpointCallError('availability zone out of service', false);
+  return new types.EndpointCallError('endpoint takes no new requests', false);
 }
 
 /** Error of a request that could be sent on neither way, or was lost on the second one. */
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -171,10 +171,10 @@
     return isBroken && !(await this.deps.caller.hasLostPath(endpoint));
   }
 
-  /** Chooses another engine, because the zone of the planned one went out of service before the send. */
+  /** Chooses another engine, because the planned one takes no new requests any more. */
   private replaceClosed(endpoint: routing.IEndpoint): Promise<coordination.PlanOutcome> {
-    this.deps.metrics.count('retry', { reason: 'zone-closed' });
-    this.log('engine-zone-closed', { endpoint: endpoint.id, zone: endpoint.availabilityZone });
+    this.deps.metrics.count('retry', { reason: 'closed' });
+    this.log('engine-closed', { endpoint: endpoint.id, zone: endpoint.availabilityZone });
     return this.deps.planner.reassign(this.planId, endpoint.id, 'limited');
   }
 
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -887,7 +887,7 @@
       reply = () => answerOf(200, 'ok');
       await request('/chat/');
       expect(calls.map((call) => call.endpoint.id)).toEqual(['m2']);
-      expect(metrics.counters.get('retry{reason=zone-closed}')).toBe(1);
+      expect(metrics.counters.get('retry{reason=closed}')).toBe(1);
     });
 
     test('lets requests there end, and sends there again once the zone returns', async () => {
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -190,9 +190,9 @@
 
 /** Sends requests to endpoints. */
 export interface IEndpointCaller {
-  /** Starts a call and returns at once. A call to an endpoint whose zone is out of service fails unsent. */
+  /** Starts a call and returns at once. A call to an endpoint that is not open fails unsent, also after a wait. */
   send(call: IEndpointCall): IStartedCall;
-  /** Whether the zone of an endpoint is in service, so that it may get a new request. */
+  /** Whether an endpoint may get a new request: its zone is in service and the list does not show it as leaving. */
   isOpen(endpoint: routing.IEndpoint): boolean;
   /** Whether this VM has lost its own path to an endpoint, so that a failed call says nothing about the endpoint. */
   hasLostPath(endpoint: routing.IEndpoint): Promise<boolean>;
--- a/src/routing/EndpointDirectory.test.ts
+++ b/src/routing/EndpointDirectory.test.ts
@@ -65,3 +65,16 @@
   directory.replace({ revision: 2, endpoints: [endpoint('x', 'a', true)] });
   expect(directory.isOutOfService('s')).toBe(false);
 });
+
+test('an endpoint that drains is leaving until it is listed as ready, also when the list no longer has it', () => {
+  const directory = makeDirectory();
+  const isLeaving = (): boolean => directory.isLeaving('x');
+  expect(isLeaving()).toBe(false);
+  directory.replace({ revision: 2, endpoints: [endpoint('x', 'a', true), endpoint('y', 'b')] });
+  expect([isLeaving(), directory.isLeaving('y')]).toEqual([true, false]);
+  directory.replace({ revision: 3, endpoints: [endpoint('y', 'b')] });
+  directory.replace({ revision: 4, endpoints: [] });
+  expect([isLeaving(), directory.isLeaving('y')]).toEqual([true, false]);
+  directory.replace({ revision: 5, endpoints: [endpoint('x', 'a')] });
+  expect(isLeaving()).toBe(false);
+});
--- a/src/routing/EndpointDirectory.ts
+++ b/src/routing/EndpointDirectory.ts
@@ -2,6 +2,9 @@
 import * as zoneTypes from '../zones/Types.js';
 import type * as types from './Types.js';
 
+/** Maximum number of endpoints that are remembered as leaving when the list no longer has them; the oldest yield. */
+const MAX_LEFT = 1000;
+
 /**
  * Holds the latest endpoint list and indexes it by service. Knows the availability zones out of service, whose endpoints
  * get no new request.
@@ -12,6 +15,9 @@
   /** Availability zone of each address in the list. */
   private zoneByAddress: ReadonlyMap<string, string> = new Map();
 
+  /** Ids of endpoints that are draining, or were when they left the list. */
+  private leaving: ReadonlySet<string> = new Set();
+
   private list: types.IEndpointList = { revision: 0, endpoints: [] };
 
   private closed = zoneTypes.NO_CLOSED_ZONES;
@@ -50,6 +56,11 @@
     return availabilityZone === undefined || this.isOpen({ availabilityZone });
   }
 
+  /** Whether an endpoint is draining, or has left the list since it was; it gets no new request. */
+  isLeaving(id: string): boolean {
+    return this.leaving.has(id);
+  }
+
   /** Whether a service has endpoints that would accept requests, all of them in closed zones. */
   isOutOfService(service: string): boolean {
     return (
@@ -66,6 +77,10 @@
   /** Replaces the whole list, rebuilds the index and notifies listeners. */
   replace(list: types.IEndpointList): void {
     this.list = list;
+    const listed = new Set(list.endpoints.map(({ id }) => id));
+    const left = [...this.leaving].filter((id) => !listed.has(id)).slice(-MAX_LEFT);
+    const draining = list.endpoints.filter((endpoint) => endpoint.draining);
+    this.leaving = new Set([...left, ...draining.map(({ id }) => id)]);
     this.zoneByAddress = new Map(
       list.endpoints.map(({ address, availabilityZone }) => [address, availabilityZone]),
     );
