--- a/src/gateway/EndpointTransport.ts
+++ b/src/gateway/EndpointTransport.ts
@@ -171,11 +171,24 @@
       const startedAt = this.clock.monotonic();
       let sent = false;
       let timer: commonTypes.IDisposable | undefined;
+      let isSettled = false;
+      const fail = (err: Error): void => {
+        timer?.dispose();
+        if (isSettled) {
+          return;
+        }
+        isSettled = true;
+        if (sent && via === 'direct' && call.isEndpoint && !isCancelled()) {
+          void this.paths.check(call.address);
+        }
+        reject(new types.EndpointCallError(err.message, sent, relay.isRefusal(err)));
+      };
       req.once('socket', (socket) => {
         const recordSent = (): void => {
           if (!maySend(call)) {
-            timer?.dispose();
-            req.destroy(closedError());
+            fail(closedError());
+            // Without an error: the answer before it on the connection may not have been read to its end yet.
+            req.destroy();
             return;
           }
           const sentAt = this.clock.monotonic();
@@ -200,18 +213,6 @@
         );
         socket.once('connect', recordSent);
       });
-      let isSettled = false;
-      const fail = (err: Error): void => {
-        timer?.dispose();
-        if (isSettled) {
-          return;
-        }
-        isSettled = true;
-        if (sent && via === 'direct' && call.isEndpoint && !isCancelled()) {
-          void this.paths.check(call.address);
-        }
-        reject(new types.EndpointCallError(err.message, sent, relay.isRefusal(err)));
-      };
       req.on('error', fail);
       req.once('close', () => fail(new Error('connection closed before the response')));
       req.once('response', (res) => {
