--- a/src/coordination/StreamRecorder.test.ts
+++ b/src/coordination/StreamRecorder.test.ts
@@ -124,15 +124,16 @@
     expect(restarted.versionOf('unrecorded', SERVICE)).toBe('v2');
   });
 
-  it('leaves out streams that cannot be taken up, and very long ids', async () => {
+  it('leaves out streams that cannot be taken up, and records very long ids under a short one', async () => {
     streams.recordListed(SERVICE, ['v1', 'v2']);
     begin('once', 'v1', false);
     begin('x'.repeat(200), 'v1');
     begin('a', 'v1');
     await clock.advance(2 * INTERVAL_MS);
     expect(commands.map((command) => versionRecord.decode(command)?.streams)).toEqual([
-      { v1: ['a'] },
+      { v1: [expect.stringMatching(/^[\w-]{43}$/), 'a'] },
     ]);
+    expect(restart().versionOf('x'.repeat(200), SERVICE)).toBe('v1');
   });
 
   it('records the later version of a request that was sent again before its first event', async () => {
--- a/src/coordination/StreamRecorder.ts
+++ b/src/coordination/StreamRecorder.ts
@@ -10,8 +10,6 @@
 const RETRY_INTERVAL_MS = 500;
 /** Maximum number of streams in a record, about 40 KB. */
 const MAX_STREAMS_PER_RECORD = 2000;
-/** Longer request ids are not recorded. */
-const MAX_ID_LENGTH = 128;
 
 /** Components that a stream recorder uses. */
 export interface IStreamRecorderDependencies {
@@ -41,7 +39,7 @@
   /** Follows the streams of `deps.streams`; `start` begins to record them. */
   constructor(private readonly deps: IStreamRecorderDependencies) {
     this.subscription = deps.streams.onNews(({ requestId, service = '', isResumable = true }) => {
-      if (isResumable && requestId.length <= MAX_ID_LENGTH) {
+      if (isResumable) {
         const ids = this.unrecorded.get(service) ?? new Set<string>();
         // Deleted first, so that the ids stay in the order of their streams' times.
         ids.delete(requestId);
--- a/src/coordination/StreamVersions.ts
+++ b/src/coordination/StreamVersions.ts
@@ -1,5 +1,6 @@
 import * as lruCache from 'lru-cache';
 import * as emitter from '../common/Emitter.js';
+import * as shortId from '../common/ShortId.js';
 import type * as commonTypes from '../common/Types.js';
 
 /** Longer than a caller takes a stream up after it has begun. */
@@ -47,6 +48,7 @@
  * holds, which survives a restart of all VMs.
  */
 export class StreamVersions implements commonTypes.IDisposable {
+  /** Streams by the short id of their request. */
   private readonly streams = new lruCache.LRUCache<string, IStream>({ max: MAX_STREAMS });
 
   /** Time at which a version was listed last, by service and version. */
@@ -68,10 +70,11 @@
 
   /** Records the version of the engine to which a request is sent, in place of an earlier one. */
   record(stream: IBegunStream): void {
-    const { requestId, version, service } = stream;
+    const { version, service } = stream;
+    const requestId = shortId.shortIdOf(stream.requestId);
     const at = this.clock.monotonic();
     this.streams.set(requestId, { version, service, at, isLogged: false });
-    this.newsEmitter.fire(stream);
+    this.newsEmitter.fire({ ...stream, requestId });
   }
 
   /** Adopts streams of a version that the replicated log holds. */
@@ -89,7 +92,7 @@
 
   /** Version of a recent stream that the replicated log does not hold; undefined for other streams. */
   unloggedVersionOf(requestId: string): string | undefined {
-    const stream = this.streams.peek(requestId);
+    const stream = this.streams.peek(shortId.shortIdOf(requestId));
     return stream !== undefined && !stream.isLogged && this.isRecent(stream.at)
       ? stream.version
       : undefined;
@@ -147,7 +150,7 @@
 
   /** Version that began the stream of a request, if it is recorded. */
   recordedVersionOf(requestId: string): string | undefined {
-    const stream = this.streams.get(requestId);
+    const stream = this.streams.get(shortId.shortIdOf(requestId));
     return stream !== undefined && this.isRecent(stream.at) ? stream.version : undefined;
   }
 
@@ -173,9 +176,10 @@
   /** Adopts the streams of another VM; later knowledge wins. Records that cannot be read are left out. */
   merge(records: readonly IStreamRecord[]): void {
     const now = this.clock.monotonic();
-    [...records].reverse().forEach(({ requestId, version, age, service }) => {
+    [...records].reverse().forEach(({ requestId: id, version, age, service }) => {
       const isReadable =
-        typeof requestId === 'string' && typeof version === 'string' && Number.isFinite(age);
+        typeof id === 'string' && typeof version === 'string' && Number.isFinite(age);
+      const requestId = isReadable ? shortId.shortIdOf(id) : '';
       const at = now - Math.max(0, age);
       if (isReadable && at > (this.streams.peek(requestId)?.at ?? Number.NEGATIVE_INFINITY)) {
         this.streams.set(requestId, { version, service, at, isLogged: false });
