--- a/src/placing/EnginePlacer.ts
+++ b/src/placing/EnginePlacer.ts
@@ -68,6 +68,8 @@
 
   private readonly placedRequests = new Map<string, IPlacedRequest>();
 
+  private readonly cachedParts: promptCacheEstimate.IPartCount = { parts: 0 };
+
   /** Home engines among all engines, by the id of the shared part. */
   private readonly homes = new Map<string, string>();
 
@@ -93,12 +95,16 @@
     const versions = new Map(endpoints.map(({ id, version }) => [id, version]));
     [...this.engines]
       .filter(([id, { endpoint }]) => !versions.has(id) || versions.get(id) !== endpoint.version)
-      .forEach(([id]) => this.engines.delete(id));
+      .forEach(([id, { promptCache }]) => {
+        promptCache.dispose();
+        this.engines.delete(id);
+      });
     endpoints
       .filter((endpoint) => !this.engines.has(endpoint.id))
       .forEach((endpoint) => {
         const promptCache = new promptCacheEstimate.PromptCacheEstimate(
           limits.cacheTokens * CACHE_MEMORY_RATIO,
+          this.cachedParts,
         );
         this.engines.set(endpoint.id, new engineState.EngineState(endpoint, promptCache));
       });
