--- a/src/common/Utf8.test.ts
+++ b/src/common/Utf8.test.ts
@@ -50,3 +50,16 @@
 test('an incomplete last character is refused at its first byte', () => {
   expect(placeOf(Buffer.from([0x61, 0xf0, 0x9f, 0x98]))).toBe(1);
 });
+
+test.each(['', 'a', 'café', 'Žižkov', '\u{1f600}'])(
+  'text survives as a string of bytes: %s',
+  (text) => {
+    const bytes = utf8.toByteString(text);
+    expect([...bytes].every((letter) => letter.charCodeAt(0) < 256)).toBe(true);
+    expect(utf8.fromByteString(bytes)).toBe(text);
+  },
+);
+
+test('bytes that are not UTF-8 are one letter each', () => {
+  expect(utf8.fromByteString('caf\u00e9')).toBe('caf\u00e9');
+});
--- a/src/common/Utf8.ts
+++ b/src/common/Utf8.ts
@@ -58,6 +58,17 @@
   return Buffer.from(text, 'utf8').toString('latin1');
 }
 
+/**
+ * Returns the text whose UTF-8 `bytes` holds, one character for each byte; `bytes` itself if they are not UTF-8.
+ *
+ * @example
+ * fromByteString('\u00c3\u00a9'); // '\u00e9'
+ */
+export function fromByteString(bytes: string): string {
+  const encoded = Buffer.from(bytes, 'latin1');
+  return buffer.isUtf8(encoded) ? encoded.toString('utf8') : bytes;
+}
+
 /** Returns the offset of the first byte that is not part of a character. */
 function endOfUtf8(bytes: Buffer): number {
   let at = 0;
