--- a/src/common/memory/ServerGuard.ts
+++ b/src/common/memory/ServerGuard.ts
@@ -22,6 +22,26 @@
   return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 }
 
+/** Connections whose request is being answered. */
+const answering = new WeakSet<net.Socket>();
+
+/**
+ * Returns whether a request is to be answered: not if it arrived before the answer to the one before it, after which its
+ * connection closes. For servers that answer at once.
+ *
+ * @example
+ * http.createServer((req, res) => admit(req, res) && res.end('ok'));
+ */
+export function admit({ socket }: http.IncomingMessage, res: http.ServerResponse): boolean {
+  if (answering.has(socket)) {
+    socket.destroySoon();
+    return false;
+  }
+  answering.add(socket);
+  res.once('close', () => answering.delete(socket));
+  return true;
+}
+
 /** Limits of a guarded server. */
 export interface IServerGuardOptions {
   /** Name of the port in the metrics. */
--- a/src/gateway/CallerConnection.ts
+++ b/src/gateway/CallerConnection.ts
@@ -28,8 +28,12 @@
   state: ConnectionState;
   /** Whether a request has arrived on the connection. */
   isUsed: boolean;
-  /** Whether a request has arrived before the answer to an earlier one. */
-  hasSentAhead: boolean;
+  /** Whether an answer was sent on the connection. */
+  isAnswered: boolean;
+  /** Whether a request has arrived before the answer to an earlier one, or bodies in very many small parts. */
+  isOutOfStep: boolean;
+  /** Small parts of bodies that have arrived. */
+  smallParts: number;
   /** Requests that were taken and whose answer is not sent. */
   taken: number;
   /** Requests that were read completely: the one that runs, then those that wait for the answers before them. */
@@ -67,9 +71,9 @@
   );
 }
 
-/** Whether the caller has sent requests, each after the answer to the one before. */
-export function isInStep({ isUsed, hasSentAhead }: ICallerConnection): boolean {
-  return isUsed && !hasSentAhead;
+/** Whether the caller has got answers, and has sent each request after the answer to the one before. */
+export function isInStep({ isAnswered, isOutOfStep }: ICallerConnection): boolean {
+  return isAnswered && !isOutOfStep;
 }
 
 /** Returns the state of a connection for the choice of one that gives way. */
--- a/src/gateway/CallerConnections.ts
+++ b/src/gateway/CallerConnections.ts
@@ -28,6 +28,14 @@
 const MAX_SENT_AHEAD_PRESSED = 2;
 /** Requests sent ahead, on all connections, after which those in step are read for a moment and the others are not. */
 const MAX_AHEAD_A_TURN = 64;
+/** Requests that waited behind others and are run in a turn of the event loop, on all connections. */
+const RUNS_A_TURN = 8;
+/** Parts of a body of fewer bytes cost more to parse than to read. */
+const SMALL_PART_BYTES = 64;
+/** Small parts on one connection after which it is out of step. */
+const MAX_SMALL_PARTS = 256;
+/** Work of a small part, relative to that of a request. */
+const SMALL_PART_WORK = 1 / 32;
 /** Memory of a request that was parsed but not taken; Node keeps it as long as the answers before it. */
 const REFUSED_REQUEST_BYTES = 8192;
 
@@ -58,8 +66,13 @@
 
   private isCrowded = false;
 
-  /** Requests sent ahead since reading was last stopped. */
-  private aheadCount = 0;
+  /** Connections with a request whose turn has come. */
+  private readonly waiting: callerConnection.ICallerConnection[] = [];
+
+  private areRunsDue = false;
+
+  /** Requests sent ahead, and small parts as parts of one, since reading was last stopped. */
+  private work = 0;
 
   private readonly sendDeadlines: sendDeadlines.SendDeadlines;
 
@@ -93,7 +106,9 @@
       enteredAt: 0,
       state: 'request',
       isUsed: false,
-      hasSentAhead: false,
+      isAnswered: false,
+      isOutOfStep: false,
+      smallParts: 0,
       taken: 0,
       turns: [],
       aheadLease: undefined,
@@ -169,8 +184,8 @@
       return false;
     }
     if (connection.taken > 0) {
-      connection.hasSentAhead = true;
-      this.countAhead();
+      connection.isOutOfStep = true;
+      this.countWork(1);
     }
     connection.isUsed = true;
     connection.latest = req;
@@ -217,10 +232,18 @@
   }
 
   /** Records that a part of the body has arrived. */
-  recordProgress(socket: net.Socket): void {
+  recordPart(socket: net.Socket, bytes: number): void {
     const connection = this.connections.get(socket);
-    if (connection !== undefined) {
-      connection.since = this.deps.clock.monotonic();
+    if (connection === undefined) {
+      return;
+    }
+    connection.since = this.deps.clock.monotonic();
+    if (bytes < SMALL_PART_BYTES) {
+      connection.smallParts += 1;
+      if (connection.smallParts > MAX_SMALL_PARTS) {
+        connection.isOutOfStep = true;
+        this.countWork(SMALL_PART_WORK);
+      }
     }
   }
 
@@ -299,20 +322,20 @@
       last: isEnding ? connection.last : connection.latest,
     });
     this.reading.stop(socket);
-    this.countAhead();
+    this.countWork(1);
     if (!aheadLease.resize(aheadLease.bytes + REFUSED_REQUEST_BYTES)) {
       this.close(socket, 'sent-ahead');
     }
   }
 
   /**
-   * Stops reading for a moment after many requests that were sent ahead: Node parses all that one read brought, and frees
-   * what a closed connection held at the end of its turn. Connections in step are read on.
+   * Stops reading for a moment after many requests that were sent ahead, or small parts: Node parses all that one read
+   * brought, and frees what a closed connection held at the end of its turn. Connections in step are read on.
    */
-  private countAhead(): void {
-    this.aheadCount += 1;
-    if (this.aheadCount >= MAX_AHEAD_A_TURN) {
-      this.aheadCount = 0;
+  private countWork(requests: number): void {
+    this.work += requests;
+    if (this.work >= MAX_AHEAD_A_TURN) {
+      this.work = 0;
       const others = [...this.connections.values()].filter(
         (connection) => !callerConnection.isInStep(connection),
       );
@@ -323,7 +346,7 @@
   /** Ends what `take` began: the next request that waits may run. */
   private release(connection: callerConnection.ICallerConnection, req: http.IncomingMessage): void {
     const { socket, turns } = connection;
-    Object.assign(connection, { taken: connection.taken - 1 });
+    Object.assign(connection, { taken: connection.taken - 1, isAnswered: true });
     const wasRunning = turns[0]?.req === req;
     if (wasRunning) {
       turns.shift();
@@ -332,8 +355,8 @@
       return;
     }
     if (wasRunning && turns.length > 0) {
-      // In a turn of its own, so that those of other connections come between.
-      setImmediate(() => CallerConnections.runFirst(connection));
+      this.waiting.push(connection);
+      this.scheduleRuns();
     }
     if (connection.last === req) {
       // Its answer may have begun before it became the last one.
@@ -343,6 +366,20 @@
     }
   }
 
+  /** Runs the requests whose turn has come, a few in each turn of the event loop, so that others come between. */
+  private scheduleRuns(): void {
+    if (!this.areRunsDue) {
+      this.areRunsDue = true;
+      setImmediate(() => {
+        this.areRunsDue = false;
+        this.waiting.splice(0, RUNS_A_TURN).forEach(CallerConnections.runFirst);
+        if (this.waiting.length > 0) {
+          this.scheduleRuns();
+        }
+      });
+    }
+  }
+
   private static runFirst({ socket, turns }: callerConnection.ICallerConnection): void {
     const [turn] = turns;
     if (turn !== undefined && !turn.isStarted && !socket.destroyed) {
--- a/src/gateway/StoppedReading.ts
+++ b/src/gateway/StoppedReading.ts
@@ -4,6 +4,8 @@
 
 /** Timers run in the next turn of the event loop at the earliest, when connections that were closed are freed. */
 const STOP_ALL_MS = 1;
+/** Connections that are started again in a turn; each may bring some 400 requests at once. */
+const STARTED_A_TURN = 4;
 
 /** Components that it uses. */
 export interface IStoppedReadingDependencies {
@@ -60,21 +62,30 @@
     this.paused.delete(socket);
   }
 
-  /** Stops `sockets` until what closed ones held is freed. */
+  /**
+   * Stops `sockets` until what closed ones held is freed. They are started again a few in each turn, the newest first: most
+   * of a crowd came before, and a caller that waited long has gone.
+   */
   stopAll(sockets: Iterable<net.Socket>): void {
-    if (this.timer !== undefined) {
-      return;
-    }
-    this.deps.metrics.count('reading_stopped', { door: 'callers' });
     [...sockets]
       .filter((socket) => !this.stopped.has(socket))
       .forEach((socket) => {
         this.stop(socket);
         this.paused.add(socket);
       });
+    if (this.timer === undefined) {
+      this.deps.metrics.count('reading_stopped', { door: 'callers' });
+      this.schedule();
+    }
+  }
+
+  private schedule(): void {
     this.timer = this.deps.clock.setTimer(STOP_ALL_MS, () => {
       this.timer = undefined;
-      [...this.paused].forEach((socket) => this.start(socket));
+      [...this.paused].slice(-STARTED_A_TURN).forEach((socket) => this.start(socket));
+      if (this.paused.size > 0) {
+        this.schedule();
+      }
     });
   }
 
