--- a/src/common/memory/ServerGuard.ts
+++ b/src/common/memory/ServerGuard.ts
@@ -22,24 +22,34 @@
   return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 }
 
-/** Connections whose request is being answered. */
-const answering = new WeakSet<net.Socket>();
+/** Unanswered requests of each connection. */
+const unanswered = new WeakMap<net.Socket, number>();
+/** Connections on which a request arrived before the answer to the one before it. */
+const sentAhead = new WeakSet<net.Socket>();
 
 /**
- * Returns whether a request is to be answered: not if it arrived before the answer to the one before it, after which its
- * connection closes. For servers that answer at once.
+ * Closes a connection on which requests are sent ahead, after the answers to those that one read brought: Node has parsed
+ * them, and keeps those that get no answer longest. For servers that answer at once.
  *
  * @example
- * http.createServer((req, res) => admit(req, res) && res.end('ok'));
+ * http.createServer((req, res) => {
+ *   closeIfAhead(req, res);
+ *   res.end('ok');
+ * });
  */
-export function admit({ socket }: http.IncomingMessage, res: http.ServerResponse): boolean {
-  if (answering.has(socket)) {
-    socket.destroySoon();
-    return false;
+export function closeIfAhead({ socket }: http.IncomingMessage, res: http.ServerResponse): void {
+  const before = unanswered.get(socket) ?? 0;
+  unanswered.set(socket, before + 1);
+  if (before > 0) {
+    sentAhead.add(socket);
   }
-  answering.add(socket);
-  res.once('close', () => answering.delete(socket));
-  return true;
+  res.once('close', () => {
+    const left = (unanswered.get(socket) ?? 1) - 1;
+    unanswered.set(socket, left);
+    if (left === 0 && sentAhead.has(socket)) {
+      socket.destroySoon();
+    }
+  });
 }
 
 /** Limits of a guarded server. */
--- a/src/common/services/MetricsServer.ts
+++ b/src/common/services/MetricsServer.ts
@@ -14,9 +14,7 @@
   /** Renders `registry` for each request, after `refresh` has updated its gauges. */
   constructor(registry: metricsRegistry.MetricsRegistry, refresh: () => void) {
     this.server = http.createServer(serverGuard.guardedOptions(REQUEST_TIMEOUT_MS), (req, res) => {
-      if (!serverGuard.admit(req, res)) {
-        return;
-      }
+      serverGuard.closeIfAhead(req, res);
       if (serverGuard.announcesBody(req)) {
         res.setHeader('Connection', 'close');
       }
