--- a/src/gateway/AnswerBody.test.ts
+++ b/src/gateway/AnswerBody.test.ts
@@ -23,6 +23,7 @@
     load: undefined,
     body,
     isComplete: () => true,
+    bodyEnd: () => 'framed',
   };
 }
 
--- a/src/gateway/AnswerBody.ts
+++ b/src/gateway/AnswerBody.ts
@@ -1,6 +1,8 @@
 import type * as stream from 'node:stream';
 import * as blockBuffer from '../common/memory/BlockBuffer.js';
+import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
+import type * as responseEnd from '../common/wire/ResponseEnd.js';
 import type * as bodyMemory from './BodyMemory.js';
 import type * as types from './Types.js';
 
@@ -53,6 +55,22 @@
   }
 }
 
+/**
+ * Returns how the body of an answer ended; counts ends with the connection, which only the connection's own end tells apart
+ * from a body that broke off.
+ */
+export function recordBodyEnd(
+  metrics: commonServices.IMetricsService,
+  kind: 'plain' | 'engine',
+  answer: types.IEndpointAnswer,
+): responseEnd.EndKind {
+  const end = answer.bodyEnd();
+  if (end === 'closed' || end === 'broken') {
+    metrics.count('bodies_ended_by_connection', { kind, end });
+  }
+  return end;
+}
+
 /**
  * Reads the body of a rejection and drops it, so that the connection can be reused. Resolves with the reason if the
  * body is too long or does not end in time; the call must then be cancelled.
--- a/src/gateway/CallRace.test.ts
+++ b/src/gateway/CallRace.test.ts
@@ -28,6 +28,7 @@
     load: undefined,
     body: stream.Readable.from([]),
     isComplete: () => true,
+    bodyEnd: () => 'framed',
     ...change,
   };
 }
--- a/src/gateway/EndpointTransport.ts
+++ b/src/gateway/EndpointTransport.ts
@@ -1,6 +1,7 @@
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
 import type * as commonTypes from '../common/Types.js';
+import * as responseEnd from '../common/wire/ResponseEnd.js';
 import * as responseGuard from '../common/wire/ResponseGuard.js';
 import type * as endpointPaths from '../relay/EndpointPaths.js';
 import * as relay from '../relay/Types.js';
@@ -51,6 +52,8 @@
 /** Head of a response. */
 export interface IHttpResponse {
   readonly res: http.IncomingMessage;
+  /** How the response ends. */
+  readonly end: responseEnd.IResponseEnd;
   readonly via: relay.Via;
   /** The connection on which it arrived. */
   readonly connection: stream.Duplex;
@@ -223,7 +226,8 @@
         }
         // Readers of the body receive its errors; without a reader, an unhandled error must not end the process.
         res.on('error', () => {});
-        resolve({ res, via, ...this.recordUse(req, res) });
+        const end = new responseEnd.ResponseEnd(res);
+        resolve({ res, end, via, ...this.recordUse(req, res) });
       });
       req.end(call.body);
     });
@@ -232,7 +236,7 @@
   private recordUse(
     req: http.ClientRequest,
     res: http.IncomingMessage,
-  ): Omit<IHttpResponse, 'res' | 'via'> {
+  ): Omit<IHttpResponse, 'res' | 'end' | 'via'> {
     const { socket: connection } = res;
     const isFirst = !this.heardAt.has(connection);
     const recordHeard = (): void => {
--- a/src/gateway/EngineRequestHandler.ts
+++ b/src/gateway/EngineRequestHandler.ts
@@ -347,7 +347,9 @@
         return { kind: 'quarantined' };
       }
       const reason = outcome.kind === 'cut' ? outcome.reason : undefined;
-      this.log('sending-ended', { endpoint: endpoint.id, end: outcome.kind, took, reason });
+      const bodyEnd = answerBody.recordBodyEnd(deps.metrics, 'engine', answer);
+      const end = outcome.kind;
+      this.log('sending-ended', { endpoint: endpoint.id, end, took, reason, bodyEnd });
       if (outcome.kind === 'cut') {
         deps.metrics.count('answer_lost', { kind: 'engine' });
         call.cancel();
--- a/src/gateway/Gateway.test.ts
+++ b/src/gateway/Gateway.test.ts
@@ -76,6 +76,7 @@
     load: undefined,
     body: stream.Readable.from([Buffer.from(body)]),
     isComplete: () => true,
+    bodyEnd: () => 'framed',
     ...change,
   };
 }
--- a/src/gateway/PlainRequestHandler.ts
+++ b/src/gateway/PlainRequestHandler.ts
@@ -2,6 +2,7 @@
 import type * as blame from '../blame/Types.js';
 import type * as commonTypes from '../common/Types.js';
 import type * as commonServices from '../common/services/Services.js';
+import type * as responseEnd from '../common/wire/ResponseEnd.js';
 import type * as rateLimits from '../ratelimit/Types.js';
 import type * as endpointRooms from '../room/EndpointRooms.js';
 import type * as room from '../room/Types.js';
@@ -351,6 +352,7 @@
       }
     });
     let load: types.IEndpointLoad | undefined;
+    let bodyEnd: responseEnd.EndKind | undefined;
     const recordEnd = (
       outcome: serviceBalancer.CallOutcome,
       attemptEnd: crashAttribution.AttemptEnd,
@@ -365,7 +367,7 @@
       deps.quarantine.recordEnded(attemptId, isCancelled ? 'left' : attemptEnd);
       deps.balancer.recordEnd(endpoint.id, end, took, load);
       granted?.release(ROOM_OUTCOMES[end]);
-      const fields = { endpoint: endpoint.id, end, took: Math.round(took), reason };
+      const fields = { endpoint: endpoint.id, end, took: Math.round(took), reason, bodyEnd };
       this.log('sending-ended', fields);
       if (end === 'lost') {
         deps.metrics.count('answer_lost', { kind: 'plain' });
@@ -385,6 +387,7 @@
         deps.quarantine.recordStarted(attemptId);
       }
       const result = await this.readAnswer(answer);
+      bodyEnd = answerBody.recordBodyEnd(deps.metrics, 'plain', answer);
       if ('fault' in result) {
         call.cancel();
         recordEnd('lost', 'broken', result.fault);
--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -5,6 +5,7 @@
 import type * as stream from 'node:stream';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
+import type * as responseEnd from '../common/wire/ResponseEnd.js';
 import type * as placing from '../placing/Types.js';
 import type * as routing from '../routing/Types.js';
 import type * as bodyMemory from './BodyMemory.js';
@@ -162,6 +163,8 @@
   readonly body: stream.Readable;
   /** Whether the body was received completely; valid once it has ended. */
   isComplete(): boolean;
+  /** How the body ended; valid once it has. */
+  bodyEnd(): responseEnd.EndKind;
 }
 
 /** A call in progress. */
