--- a/src/control/orders/HttpEngineClient.ts
+++ b/src/control/orders/HttpEngineClient.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as zod from 'zod';
+import * as responseEnd from '../../common/wire/ResponseEnd.js';
 import * as responseGuard from '../../common/wire/ResponseGuard.js';
 import type * as stateTypes from '../state/Types.js';
 import type * as types from './Types.js';
@@ -81,6 +82,7 @@
     const url = `http://${address}/v1/orders`;
     const headers = { 'content-type': 'application/json' };
     const req = http.request(url, { method, headers, signal, agent: false }, (res) => {
+      const end = new responseEnd.ResponseEnd(res);
       const chunks: Buffer[] = [];
       let bytes = 0;
       res.on('data', (chunk: Buffer) => {
@@ -92,6 +94,10 @@
       });
       res.on('error', reject);
       res.on('end', () => {
+        if (!end.isComplete) {
+          reject(new Error('the connection broke before the end of the engine response'));
+          return;
+        }
         const text = Buffer.concat(chunks).toString();
         resolve({ status: res.statusCode ?? 0, retryAfter: res.headers['retry-after'], text });
       });
--- a/src/entry/endpoints/HttpEndpointClient.ts
+++ b/src/entry/endpoints/HttpEndpointClient.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as responseEnd from '../../common/wire/ResponseEnd.js';
 import * as responseGuard from '../../common/wire/ResponseGuard.js';
 import type * as configTypes from '../../config/Types.js';
 import type * as entryTypes from '../Types.js';
@@ -45,6 +45,12 @@
   sent: boolean;
 }
 
+/** Head of a response, and how its body ends. */
+interface IResponse {
+  readonly res: http.IncomingMessage;
+  readonly end: responseEnd.IResponseEnd;
+}
+
 /** Calls endpoints over HTTP/1.1 (RFC 9112) with Node's client; repeatable calls use persistent connections. */
 export class HttpEndpointClient implements entryTypes.IEndpointClient {
   private readonly agent: http.Agent;
@@ -65,10 +71,10 @@
     signal: AbortSignal,
   ): Promise<entryTypes.IEndpointAnswer> {
     const pendingCall = this.send(endpoint, call, signal);
-    const res = await this.awaitHead(pendingCall, signal);
-    this.checkHead(pendingCall, res);
-    const body = await this.readWhole(pendingCall, res, signal);
-    return { ...answerHead(res), body };
+    const response = await this.awaitHead(pendingCall, signal);
+    this.checkHead(pendingCall, response.res);
+    const body = await this.readWhole(pendingCall, response, signal);
+    return { ...answerHead(response.res), body };
   }
 
   /** @inheritdoc */
@@ -78,9 +84,9 @@
     signal: AbortSignal,
   ): Promise<entryTypes.IEndpointStream> {
     const pendingCall = this.send(endpoint, call, signal);
-    const res = await this.awaitHead(pendingCall, signal);
-    this.checkHead(pendingCall, res);
-    return { ...answerHead(res), chunks: this.relay(pendingCall, res, signal) };
+    const response = await this.awaitHead(pendingCall, signal);
+    this.checkHead(pendingCall, response.res);
+    return { ...answerHead(response.res), chunks: this.relay(pendingCall, response, signal) };
   }
 
   /** @inheritdoc */
@@ -119,13 +125,13 @@
     return pendingCall;
   }
 
-  private awaitHead(pendingCall: IPendingCall, signal: AbortSignal): Promise<http.IncomingMessage> {
+  private awaitHead(pendingCall: IPendingCall, signal: AbortSignal): Promise<IResponse> {
     const { req, endpoint } = pendingCall;
     return new Promise((resolve, reject) => {
       let hasHead = false;
       req.once('response', (res) => {
         hasHead = true;
-        resolve(res);
+        resolve({ res, end: new responseEnd.ResponseEnd(res) });
       });
       req.on('error', (err) => reject(failureOf(pendingCall, signal, err)));
       req.once('close', () => {
@@ -165,11 +171,9 @@
 
   private readWhole(
     pendingCall: IPendingCall,
-    res: http.IncomingMessage,
+    { res, end }: IResponse,
     signal: AbortSignal,
   ): Promise<Uint8Array> {
-    // Node detaches the socket from a response that has ended on a connection that is kept.
-    const { socket } = res;
     return new Promise((resolve, reject) => {
       const chunks: Buffer[] = [];
       let receivedBytes = 0;
@@ -181,10 +185,10 @@
         }
       });
       res.once('end', () => {
-        if (isReset(socket)) {
-          reject(failureOf(pendingCall, signal));
-        } else {
+        if (end.isComplete) {
           resolve(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks));
+        } else {
+          reject(failureOf(pendingCall, signal));
         }
       });
       res.once('error', (err) => reject(failureOf(pendingCall, signal, err)));
@@ -198,14 +202,13 @@
 
   private relay(
     pendingCall: IPendingCall,
-    res: http.IncomingMessage,
+    { res, end }: IResponse,
     signal: AbortSignal,
   ): AsyncIterable<Uint8Array> {
     const queue = new chunkQueue.ChunkQueue(
       () => res.isPaused() && res.resume(),
       () => pendingCall.req.destroy(),
     );
-    const { socket } = res;
     let tail: Buffer = Buffer.alloc(0);
     res.on('data', (chunk: Buffer) => {
       tail = chunk.length >= END_MARK_WINDOW_BYTES ? chunk : joinTail(tail, chunk);
@@ -214,7 +217,7 @@
       }
     });
     res.once('end', () => {
-      if (isReset(socket) || (isEventStream(res) && !endsWithEndMark(tail))) {
+      if (!end.isComplete || (isEventStream(res) && !endsWithEndMark(tail))) {
         queue.fail(failureOf(pendingCall, signal));
       } else {
         queue.end();
@@ -251,11 +254,6 @@
   req.once('close', () => signal.removeEventListener('abort', cancel));
 }
 
-/** Whether the connection broke. Node reports the end of a body without a length after a reset, too. */
-function isReset(socket: net.Socket): boolean {
-  return socket.errored !== null;
-}
-
 /** Reads a body without keeping it; closes its connection if the body is too long. */
 function dropBody(res: http.IncomingMessage): void {
   let droppedBytes = 0;
--- a/src/load/Sender.ts
+++ b/src/load/Sender.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type * as commonTypes from '../common/Types.js';
+import * as responseEnd from '../common/wire/ResponseEnd.js';
 import type * as types from './Types.js';
 
 const END_MARK = 'data: [DONE]';
@@ -12,7 +13,7 @@
   readonly streamed: boolean;
   /** Last bytes of the body, or all of an error's. */
   readonly text: string;
-  /** Whether the body came whole by its own framing. */
+  /** Whether the body came whole, by its own framing or a proper close. */
   readonly complete: boolean;
 }
 
@@ -89,6 +90,7 @@
   resolve: (answer: IAnswer) => void,
   reject: (err: Error) => void,
 ): void {
+  const end = new responseEnd.ResponseEnd(res);
   const status = res.statusCode ?? 0;
   const streamed = res.headers['content-type']?.startsWith('text/event-stream') ?? false;
   const keep = status >= 400 ? MAX_ERROR_BYTES : TAIL_BYTES;
@@ -98,7 +100,7 @@
   });
   res.on('error', reject);
   res.on('close', () => {
-    resolve({ status, streamed, text: tail.toString(), complete: res.complete });
+    resolve({ status, streamed, text: tail.toString(), complete: end.isComplete });
   });
 }
 
--- a/src/membership/HttpPlatformListClient.ts
+++ b/src/membership/HttpPlatformListClient.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import * as zod from 'zod';
+import * as responseEnd from '../common/wire/ResponseEnd.js';
 import * as responseGuard from '../common/wire/ResponseGuard.js';
 import type * as types from './Types.js';
 
@@ -39,6 +40,7 @@
     return new Promise((resolve, reject) => {
       const url = `http://${this.address}${PATH}`;
       const req = http.get(url, { signal, timeout: TIMEOUT_MS }, (res) => {
+        const end = new responseEnd.ResponseEnd(res);
         const chunks: Buffer[] = [];
         let size = 0;
         res.on('data', (chunk: Buffer) => {
@@ -48,7 +50,13 @@
             req.destroy(new Error(`the platform list is longer than ${MAX_BYTES} bytes`));
           }
         });
-        res.once('end', () => resolve(Buffer.concat(chunks).toString('utf8')));
+        res.once('end', () => {
+          if (end.isComplete) {
+            resolve(Buffer.concat(chunks).toString('utf8'));
+          } else {
+            reject(new Error('the connection broke before the end of the platform list'));
+          }
+        });
         res.once('error', reject);
       });
       responseGuard.guardResponse(req);
