--- a/src/relay/RelayServer.ts
+++ b/src/relay/RelayServer.ts
@@ -3,6 +3,7 @@
 import type * as byteBudget from '../common/memory/ByteBudget.js';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
+import * as responseEnd from '../common/wire/ResponseEnd.js';
 import * as types from './Types.js';
 
 /** Timeout of a connection to an endpoint; the VM that requests it waits about twice as long for all relays. */
@@ -160,8 +161,8 @@
   }
 
   /**
-   * Passes bytes both ways until one side closes. An endpoint connection that fails resets the other side, which could
-   * take its end for the end of a complete response.
+   * Passes bytes both ways until one side closes. The other side, which could take its end for the end of a complete
+   * response, is reset unless the endpoint closed its connection in good order.
    */
   private join(tunnel: ITunnel, endpoint: net.Socket): void {
     const { client } = tunnel;
@@ -174,6 +175,14 @@
     endpoint.on('data', recordUse);
     client.on('drain', recordUse);
     endpoint.on('drain', recordUse);
+    let isClosedByEndpoint = false;
+    // In front of the listener of the pipe, which ends the other side.
+    endpoint.prependOnceListener('end', () => {
+      isClosedByEndpoint = responseEnd.isClosedByPeer(endpoint);
+      if (!isClosedByEndpoint) {
+        client.resetAndDestroy();
+      }
+    });
     client.pipe(endpoint);
     endpoint.pipe(client);
     // A caller that left must reach the endpoint at once, which could otherwise go on with the request.
@@ -183,6 +192,10 @@
       endpoint.destroy();
     });
     endpoint.on('error', () => client.resetAndDestroy());
-    endpoint.once('close', () => client.end());
+    endpoint.once('close', () => {
+      if (!isClosedByEndpoint) {
+        client.resetAndDestroy();
+      }
+    });
   }
 }
