--- a/src/entry/http/Answers.ts
+++ b/src/entry/http/Answers.ts
@@ -1,7 +1,8 @@
 /** Writes complete answers and error answers to callers. */
 import type * as http from 'node:http';
+import * as growingBuffer from '../../common/GrowingBuffer.js';
 import type * as refusals from '../../common/Refusals.js';
-import type * as requestError from '../../common/RequestError.js';
+import * as requestError from '../../common/RequestError.js';
 
 /** Values of the headers that every answer carries. */
 export interface IAnswerMeta {
@@ -15,6 +16,8 @@
 const MS_PER_SECOND = 1000;
 /** A caller that reads nothing for this long, at most twice as long, does not get the error event of its stream. */
 const ERROR_EVENT_TIMEOUT_MS = 500;
+/** Maximum size of a stream that is held until it is whole. */
+const MAX_HELD_BYTES = 8 * 1024 * 1024;
 
 /** Builds the headers of every answer: request id, run state and, where known, configuration version. */
 export function metaHeaders(meta: IAnswerMeta): http.OutgoingHttpHeaders {
@@ -41,6 +44,23 @@
   res.end(body);
 }
 
+/** Resolves with all bytes of a stream; rejects if there are too many, or with the signal's reason on abort. */
+export async function readWhole(
+  chunks: AsyncIterable<Uint8Array>,
+  signal: AbortSignal,
+): Promise<Uint8Array> {
+  const body = new growingBuffer.GrowingBuffer();
+  for await (const chunk of chunks) {
+    signal.throwIfAborted();
+    if (body.length + chunk.length > MAX_HELD_BYTES) {
+      const message = 'the stream is too long for HTTP/1.0; use HTTP/1.1';
+      throw new requestError.RequestError('stream-cut', message, { run: 'run' });
+    }
+    body.append(chunk);
+  }
+  return body.take();
+}
+
 /** JSON text of an error: an object whose `error` holds type, code, message, param, run and request id. */
 export function errorBody(err: requestError.RequestError, requestId: string): string {
   const error = {
--- a/src/entry/http/CallerServer.test.ts
+++ b/src/entry/http/CallerServer.test.ts
@@ -1,20 +1,16 @@
-import type * as http from 'node:http';
 import * as net from 'node:net';
 import * as vitest from 'vitest';
-import * as recordingLog from '../../common/testing/RecordingLogService.js';
-import * as recordingMetrics from '../../common/testing/RecordingMetricsService.js';
 import * as systemClock from '../../common/SystemClock.js';
-import type * as configTypes from '../../config/Types.js';
-import * as requestScope from '../pipeline/RequestScope.js';
+import type * as requestScope from '../pipeline/RequestScope.js';
 import type * as pipelineTypes from '../pipeline/Types.js';
-import * as callerServer from './CallerServer.js';
-import * as types from './Types.js';
+import * as testCallerServer from '../testing/TestCallerServer.js';
+import type * as types from './Types.js';
 
 const { afterEach, expect, test } = vitest;
-const DEADLINE_MS = 500;
+const { DEADLINE_MS } = testCallerServer;
 const BLOCK = Buffer.alloc(1_000_000, 'x');
 const clock = new systemClock.SystemClock();
-let server: callerServer.CallerServer | undefined;
+let server: testCallerServer.TestCallerServer | undefined;
 
 afterEach(() => {
   server?.dispose();
@@ -22,38 +18,13 @@
 });
 
 /** Starts a server whose requests are answered by `run` and recorded in `settled`; returns its port. */
-function startServer(
-  run: (scope: requestScope.RequestScope) => Promise<pipelineTypes.CallerAnswer>,
+async function startServer(
+  run: testCallerServer.RunFn,
   settled: (string | undefined)[] = [],
   options: Partial<types.ICallerOptions> = {},
 ): Promise<number> {
-  const kind = { name: 'k', deadlineMs: DEADLINE_MS } as unknown as configTypes.IRequestKind;
-  const requests = {
-    ready: true,
-    version: 1,
-    accept: () => {
-      const identity = { id: 'r', workspace: 'w', target: 't', fingerprint: 'f' };
-      const scope = new requestScope.RequestScope(
-        { ...identity, kind, deadlineMs: undefined },
-        clock,
-        clock.monotonic(),
-      );
-      return {
-        scope,
-        version: 1,
-        run: () => run(scope),
-        settle: (err: Error | undefined) => settled.push(err?.message),
-      };
-    },
-  };
-  server = new callerServer.CallerServer(
-    requests,
-    { ...types.DEFAULT_CALLER_OPTIONS, ...options },
-    clock,
-    new recordingLog.RecordingLogService(),
-    new recordingMetrics.RecordingMetricsService(),
-  );
-  return server.listen('127.0.0.1', 0);
+  server = await testCallerServer.TestCallerServer.start(run, settled, options);
+  return server.port;
 }
 
 /** Resolves once `check` holds or `limit` milliseconds have passed; returns whether it holds. */
@@ -65,14 +36,6 @@
   return check();
 }
 
-/** Connections that the server holds. */
-function countConnections(): Promise<number> {
-  const { server: listening } = server as unknown as { server: http.Server };
-  return new Promise((resolve) => {
-    listening.getConnections((err, count) => resolve(count));
-  });
-}
-
 function post(port: number, rest: string): net.Socket {
   const socket = net.connect(port, '127.0.0.1');
   socket.on('error', () => {});
@@ -102,7 +65,7 @@
   socket.pause();
   expect(await until(() => settled.length === 1, DEADLINE_MS + 2000)).toBe(true);
   await clock.sleep(2000);
-  const count = await countConnections();
+  const count = await server?.countConnections();
   socket.destroy();
   expect(count).toBe(0);
 });
@@ -167,7 +130,7 @@
   expect(await until(() => running === 2, 2000)).toBe(true);
   socket.destroy();
   let isDrained = false;
-  void server?.drain().then(() => {
+  void server?.server.drain().then(() => {
     isDrained = true;
   });
   expect(await until(() => isDrained, DEADLINE_MS + 2000)).toBe(true);
--- a/src/entry/http/CallerServer.ts
+++ b/src/entry/http/CallerServer.ts
@@ -2,6 +2,7 @@
 import type * as stream from 'node:stream';
 import * as requestError from '../../common/RequestError.js';
 import type * as commonTypes from '../../common/Types.js';
+import * as httpVersion from '../../common/wire/HttpVersion.js';
 import type * as commonServices from '../../common/services/Services.js';
 import type * as pipelineTypes from '../pipeline/Types.js';
 import * as answers from './Answers.js';
@@ -195,6 +196,11 @@
       answers.writeWholeAnswer(res, meta, answer.status, answer.contentType, answer.body);
       return;
     }
+    if (!httpVersion.takesChunks(res.req)) {
+      const body = await answers.readWhole(answer.chunks, ctx.signal);
+      answers.writeWholeAnswer(res, meta, answer.status, answer.contentType, body);
+      return;
+    }
     const head = { ...answers.metaHeaders(meta), 'content-type': answer.contentType };
     res.writeHead(answer.status, { ...head, 'cache-control': 'no-cache' });
     res.flushHeaders();
