--- a/src/common/wire/ResponseGuard.ts
+++ b/src/common/wire/ResponseGuard.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 import type * as net from 'node:net';
+import * as responseHeadCheck from './ResponseHeadCheck.js';
 
 /** Maximum size of the head of a response; Node's parser enforces it for headers and trailers. */
 export const MAX_HEAD_BYTES = 16_384;
@@ -16,11 +17,14 @@
 const MIN_PART_BYTES = 8;
 /** Maximum number of informational responses before the final one. */
 const MAX_INFORMATIONAL_RESPONSES = 64;
+/** Events by which a request hands on the head of its response. */
+const HEAD_EVENTS: readonly string[] = ['response', 'connect', 'upgrade'];
 
 /**
- * Destroys the connection of `req` once the endpoint has sent more bytes beside the body than MAX_BYTES_BESIDE_BODY and
- * FRAMING_RATIO allow, too many small parts or too many informational responses. To be called before the response is
- * read.
+ * Destroys the connection of `req` once the head of its response, or of an informational one before it, breaks HTTP: the
+ * request fails then, and nobody gets the response. Does the same once the endpoint has sent more bytes beside the body than
+ * MAX_BYTES_BESIDE_BODY and FRAMING_RATIO allow, too many small parts or too many informational responses. To be called
+ * before the response is read.
  *
  * @example
  * const req = http.request(options);
@@ -35,10 +39,21 @@
   let socket: net.Socket | undefined;
   let response: http.IncomingMessage | undefined;
   let isOver = false;
+  let headFault: string | undefined;
   const close = (message: string): void => {
     isOver = true;
     (response ?? req).destroy(new Error(message));
   };
+  const headCheck = new responseHeadCheck.ResponseHeadCheck();
+  const checkHead = (chunk: Buffer): void => {
+    headFault ??= headCheck.findFault(chunk);
+    if (headFault !== undefined && !isOver) {
+      close(headFault);
+    }
+    if (headFault !== undefined || headCheck.isDone) {
+      socket?.removeListener('data', checkHead);
+    }
+  };
   // The parser handles a chunk first, so that the parts of the body in it are counted.
   const count = (chunk: Buffer): void => {
     receivedBytes += chunk.length;
@@ -56,7 +71,10 @@
   req.once('socket', (assigned) => {
     socket = assigned;
     socket.on('data', count);
+    // In front of the parser, which takes some bytes of a broken head for its end.
+    socket.prependListener('data', checkHead);
   });
+  guardHeadEvents(req, () => headFault);
   req.prependOnceListener('response', (res) => {
     response = res;
     const push = res.push.bind(res);
@@ -85,5 +103,25 @@
   req.once('close', () => {
     isOver = true;
     socket?.removeListener('data', count);
+    socket?.removeListener('data', checkHead);
+  });
+}
+
+/** Keeps back the head that the parser makes of the bytes in which `findFault` finds a fault: it goes on with them. */
+function guardHeadEvents(req: http.ClientRequest, findFault: () => string | undefined): void {
+  const emit = req.emit.bind(req);
+  Object.assign(req, {
+    emit: (event: string, ...args: unknown[]): boolean => {
+      const fault = HEAD_EVENTS.includes(event) ? findFault() : undefined;
+      if (fault === undefined) {
+        return emit(event, ...args);
+      }
+      if (event !== 'response') {
+        // Node has taken its listeners off the socket, which fails in the next tick.
+        req.socket?.on('error', () => {});
+        emit('error', new Error(fault));
+      }
+      return false;
+    },
   });
 }
--- /dev/null
+++ b/src/common/wire/ResponseHeadCheck.ts
@@ -0,0 +1,84 @@
+/** Matches the start of a status line (RFC 9112, 4), with a status of RFC 9110, 15. */
+const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
+/** Matches a line with its break. */
+const LINE = /([^\r\n]*)\r\n/y;
+/** Characters of a broken line that are reported. */
+const MAX_REPORTED_LENGTH = 64;
+/** Status that switches to another protocol, which no request asks for. */
+const SWITCHING_PROTOCOLS = 101;
+const MIN_FINAL_STATUS = 200;
+
+/**
+ * Checks the head of the response to one request, and those of the informational responses before it, as their bytes
+ * arrive. Stricter than Node's parser, which takes any status of three digits.
+ *
+ * @example
+ * const check = new ResponseHeadCheck();
+ * socket.prependListener('data', (bytes) => {
+ *   const fault = check.isDone ? undefined : check.findFault(bytes);
+ *   if (fault !== undefined) req.destroy(new Error(fault));
+ * });
+ */
+export class ResponseHeadCheck {
+  /** Beginning of a line whose end has not arrived. */
+  private beginning = '';
+
+  /** Status of the head that is being read; undefined in front of its status line. */
+  private status: number | undefined;
+
+  private hasEnded = false;
+
+  /** Whether the final head has been read to its end. */
+  get isDone(): boolean {
+    return this.hasEnded;
+  }
+
+  /** Checks the next bytes; returns what breaks HTTP, if anything does. Not to be called after a fault. */
+  findFault(bytes: Buffer): string | undefined {
+    const text = this.beginning + bytes.toString('latin1');
+    let start = 0;
+    while (!this.hasEnded) {
+      LINE.lastIndex = start;
+      const line = LINE.exec(text)?.[1];
+      if (line === undefined) {
+        this.beginning = text.slice(start);
+        return undefined;
+      }
+      const fault = this.checkLine(line);
+      if (fault !== undefined) {
+        return fault;
+      }
+      start = LINE.lastIndex;
+    }
+    return undefined;
+  }
+
+  private checkLine(line: string): string | undefined {
+    if (this.status === undefined) {
+      return this.checkStatusLine(line);
+    }
+    if (line === '') {
+      this.hasEnded = this.status >= MIN_FINAL_STATUS;
+      this.status = undefined;
+      return undefined;
+    }
+    return undefined;
+  }
+
+  private checkStatusLine(line: string): string | undefined {
+    // Blank lines may come in front of a status line (RFC 9112, 2.2).
+    if (line === '') {
+      return undefined;
+    }
+    const status = Number(STATUS_LINE.exec(line)?.[1]);
+    this.status = status;
+    return status >= 100 && status !== SWITCHING_PROTOCOLS
+      ? undefined
+      : describe('status line', line);
+  }
+}
+
+function describe(what: string, text: string): string {
+  const found = text.slice(0, MAX_REPORTED_LENGTH);
+  return `response with a broken ${what}: ${JSON.stringify(found)}`;
+}
