--- a/src/common/wire/ResponseHeadCheck.ts
+++ b/src/common/wire/ResponseHeadCheck.ts
@@ -2,6 +2,8 @@
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
 /** Matches a line with its break. */
 const LINE = /([^\r\n]*)\r\n/y;
+/** Matches the beginning of a line, with that of its break. */
+const LINE_BEGINNING = /[^\r\n]*\r?$/y;
 /** Characters of a broken line that are reported. */
 const MAX_REPORTED_LENGTH = 64;
 /** Status that switches to another protocol, which no request asks for. */
@@ -10,7 +12,7 @@
 
 /**
  * Checks the head of the response to one request, and those of the informational responses before it, as their bytes
- * arrive. Stricter than Node's parser, which takes any status of three digits.
+ * arrive. Stricter than Node's parser, which takes any status of three digits, and for which a lone CR or LF in front of a name ends the head, so that the rest of the head is read as body.
  *
  * @example
  * const check = new ResponseHeadCheck();
@@ -42,7 +44,8 @@
       const line = LINE.exec(text)?.[1];
       if (line === undefined) {
         this.beginning = text.slice(start);
-        return undefined;
+        LINE_BEGINNING.lastIndex = start;
+        return LINE_BEGINNING.test(text) ? undefined : describe('line break', text, start);
       }
       const fault = this.checkLine(line);
       if (fault !== undefined) {
@@ -78,7 +81,7 @@
   }
 }
 
-function describe(what: string, text: string): string {
-  const found = text.slice(0, MAX_REPORTED_LENGTH);
+function describe(what: string, text: string, start = 0): string {
+  const found = text.slice(start, start + MAX_REPORTED_LENGTH);
   return `response with a broken ${what}: ${JSON.stringify(found)}`;
 }
