--- a/src/common/wire/ResponseHeadCheck.ts
+++ b/src/common/wire/ResponseHeadCheck.ts
@@ -1,5 +1,7 @@
 /** Matches the start of a status line (RFC 9112, 4), with a status of RFC 9110, 15. */
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
+/** Matches the start of a header (RFC 9112, 5), up to its value. */
+const HEADER_START = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+:/;
 /** Matches a line with its break. */
 const LINE = /([^\r\n]*)\r\n/y;
 /** Matches the beginning of a line, with that of its break. */
@@ -12,7 +14,8 @@
 
 /**
  * Checks the head of the response to one request, and those of the informational responses before it, as their bytes
- * arrive. Stricter than Node's parser, which takes any status of three digits, and for which a lone CR or LF in front of a name ends the head, so that the rest of the head is read as body.
+ * arrive. Stricter than Node's parser, which takes any status of three digits, a blank in the name of a header and an empty
+ * name, and for which a lone CR or LF in front of a name ends the head, so that the rest of the head is read as body.
  *
  * @example
  * const check = new ResponseHeadCheck();
@@ -65,7 +68,7 @@
       this.status = undefined;
       return undefined;
     }
-    return undefined;
+    return HEADER_START.test(line) ? undefined : describe('header', line);
   }
 
   private checkStatusLine(line: string): string | undefined {
