--- a/src/common/wire/ResponseGuard.ts
+++ b/src/common/wire/ResponseGuard.ts
@@ -40,9 +40,18 @@
   let response: http.IncomingMessage | undefined;
   let isOver = false;
   let headFault: string | undefined;
+  let isClosed = false;
   const close = (message: string): void => {
+    const err = new Error(message);
     isOver = true;
-    (response ?? req).destroy(new Error(message));
+    isClosed = true;
+    if (response === undefined) {
+      req.destroy(err);
+      return;
+    }
+    socket?.destroy();
+    // Whoever awaits the response listens to it only after the events of this turn.
+    setImmediate(() => response?.destroy(err));
   };
   const headCheck = new responseHeadCheck.ResponseHeadCheck();
   const checkHead = (chunk: Buffer): void => {
@@ -89,8 +98,11 @@
           close(`more than ${MAX_SMALL_PARTS} parts of less than ${MIN_PART_BYTES} bytes at once`);
         }
         isOver ||= part === null;
-        // The parser goes on to the end of what it got.
-        return res.destroyed ? false : push(part, encoding);
+        if (isClosed) {
+          // The parser goes on to the end of what it got, and takes the response for complete there.
+          Object.assign(res, { complete: false });
+        }
+        return res.destroyed || isClosed ? false : push(part, encoding);
       },
     });
   });
