--- a/src/common/wire/ResponseGuard.ts
+++ b/src/common/wire/ResponseGuard.ts
@@ -22,9 +22,9 @@
 
 /**
  * Destroys the connection of `req` once the head of its response, or of an informational one before it, breaks HTTP: the
- * request fails then, and nobody gets the response. Does the same once the endpoint has sent more bytes beside the body than
- * MAX_BYTES_BESIDE_BODY and FRAMING_RATIO allow, too many small parts or too many informational responses. To be called
- * before the response is read.
+ * request fails then, and nobody gets the response. Does the same with the response once a trailer breaks HTTP, or once the
+ * endpoint has sent more bytes beside the body than MAX_BYTES_BESIDE_BODY and FRAMING_RATIO allow, too many small parts or
+ * too many informational responses. To be called before the response is read.
  *
  * @example
  * const req = http.request(options);
@@ -97,6 +97,9 @@
         if (!isOver && readParts > MAX_SMALL_PARTS && readBytes < readParts * MIN_PART_BYTES) {
           close(`more than ${MAX_SMALL_PARTS} parts of less than ${MIN_PART_BYTES} bytes at once`);
         }
+        if (part === null && !isOver && !hasSoundTrailers(res)) {
+          close('response with a broken trailer');
+        }
         isOver ||= part === null;
         if (isClosed) {
           // The parser goes on to the end of what it got, and takes the response for complete there.
@@ -119,6 +122,10 @@
   });
 }
 
+function hasSoundTrailers({ rawTrailers }: http.IncomingMessage): boolean {
+  return rawTrailers.every((text, at) => at % 2 === 1 || responseHeadCheck.isHeaderName(text));
+}
+
 /** Keeps back the head that the parser makes of the bytes in which `findFault` finds a fault: it goes on with them. */
 function guardHeadEvents(req: http.ClientRequest, findFault: () => string | undefined): void {
   const emit = req.emit.bind(req);
--- a/src/common/wire/ResponseHeadCheck.ts
+++ b/src/common/wire/ResponseHeadCheck.ts
@@ -12,6 +12,16 @@
 const SWITCHING_PROTOCOLS = 101;
 const MIN_FINAL_STATUS = 200;
 
+/**
+ * Whether a text is the name of a header (RFC 9110, 5.1).
+ *
+ * @example
+ * const isSound = isHeaderName('Content-Length');
+ */
+export function isHeaderName(name: string): boolean {
+  return HEADER_START.test(`${name}:`);
+}
+
 /**
  * Checks the head of the response to one request, and those of the informational responses before it, as their bytes
  * arrive. Stricter than Node's parser, which takes any status of three digits, a blank in the name of a header and an empty
