--- a/src/gateway/EndpointNetwork.ts
+++ b/src/gateway/EndpointNetwork.ts
@@ -40,7 +40,8 @@
       relays: this.relays,
     });
     const agents = new endpointAgents.EndpointAgents(clock, this.relays, localAddress);
-    this.transport = new endpointTransport.EndpointTransport(clock, agents, this.paths);
+    const { paths } = this;
+    this.transport = new endpointTransport.EndpointTransport(clock, agents, paths, deps.metrics);
   }
 
   /** @inheritdoc */
--- a/src/gateway/EndpointTransport.test.ts
+++ b/src/gateway/EndpointTransport.test.ts
@@ -50,15 +50,16 @@
     const direct = new fakeConnector.FakeConnector(clock);
     const relays = new fakeConnector.FakeConnector(clock);
     relays.isAvailable = false;
+    const metrics = new recordingMetrics.RecordingMetricsService();
     const paths = new endpointPaths.EndpointPaths({
       clock,
       direct,
       relays,
       logService: new recordingLog.RecordingLogService(),
-      metrics: new recordingMetrics.RecordingMetricsService(),
+      metrics,
     });
     const agents = new endpointAgents.EndpointAgents(clock, direct);
-    transport = store.add(new endpointTransport.EndpointTransport(clock, agents, paths));
+    transport = store.add(new endpointTransport.EndpointTransport(clock, agents, paths, metrics));
   });
 
   afterEach(() => store.dispose());
--- a/src/gateway/EndpointTransport.ts
+++ b/src/gateway/EndpointTransport.ts
@@ -1,8 +1,10 @@
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
+import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
 import * as responseEnd from '../common/wire/ResponseEnd.js';
 import * as responseGuard from '../common/wire/ResponseGuard.js';
+import * as responseHeadFinder from '../common/wire/ResponseHeadFinder.js';
 import type * as endpointPaths from '../relay/EndpointPaths.js';
 import * as relay from '../relay/Types.js';
 import type * as endpointAgents from './EndpointAgents.js';
@@ -47,6 +49,8 @@
   readonly maySend?: () => boolean;
   /** Whether the request may be sent again if its connection is lost; absent means that it may. */
   readonly isRepeatable?: boolean;
+  /** Marks of a ResponseHeadFinder, by which a second response is found in a body that ends with its connection. */
+  readonly responseMarks?: readonly string[];
 }
 
 /** Head of a response. */
@@ -89,6 +93,7 @@
     private readonly clock: commonTypes.IClock,
     private readonly agents: endpointAgents.EndpointAgents,
     private readonly paths: endpointPaths.EndpointPaths,
+    private readonly metrics: commonServices.IMetricsService,
   ) {
     // Idle connections may hang as well, and a request sent on one of them cannot be taken back.
     this.subscription = paths.onLoss(() => agents.closeIdle('direct'));
@@ -227,6 +232,11 @@
         // Readers of the body receive its errors; without a reader, an unhandled error must not end the process.
         res.on('error', () => {});
         const end = new responseEnd.ResponseEnd(res);
+        if (!responseEnd.isDelimited(res)) {
+          responseHeadFinder.refuseSecondResponse(res, call.responseMarks, () =>
+            this.metrics.count('second_answers', { via }),
+          );
+        }
         resolve({ res, end, via, ...this.recordUse(req, res) });
       });
       req.end(call.body);
