--- a/src/gateway/Types.ts
+++ b/src/gateway/Types.ts
@@ -145,9 +145,8 @@
   /** Media type of the body, in lower case and without parameters; empty if the response names none. */
   readonly mediaType: string;
   /**
-   * Whether the body is delimited, by Content-Length or chunked encoding. The end of an undelimited body is the end
-   * of its connection, which looks the same if the endpoint crashes. The caller therefore must receive such a body
-   * undelimited, too.
+   * Whether the body is delimited, by Content-Length or chunked encoding. The end of an undelimited body is the end of its
+   * connection: a reset shows that it broke off, the end of the endpoint's process does not.
    */
   readonly isFramed: boolean;
   /** Whether the endpoint states that it did not execute the request. */
