--- a/src/load/Sender.ts
+++ b/src/load/Sender.ts
@@ -1,5 +1,6 @@
 import * as http from 'node:http';
 import type * as commonTypes from '../common/Types.js';
+import * as responseGuard from '../common/wire/ResponseGuard.js';
 import type * as types from './Types.js';
 
 const END_MARK = 'data: [DONE]';
@@ -65,6 +66,7 @@
         headers: this.headers(planned, body),
         timeout: kind.deadlineMs + GRACE_MS,
       });
+      responseGuard.guardResponse(req);
       req.on('response', (res) => readAnswer(res, resolve, reject));
       req.on('timeout', () => req.destroy(new Error('no answer in time')));
       req.on('error', reject);
