--- a/src/relay/RelayConnector.ts
+++ b/src/relay/RelayConnector.ts
@@ -2,6 +2,7 @@
 import type * as net from 'node:net';
 import type * as commonServices from '../common/services/Services.js';
 import type * as commonTypes from '../common/Types.js';
+import * as responseGuard from '../common/wire/ResponseGuard.js';
 import * as relayServer from './RelayServer.js';
 import * as types from './Types.js';
 
@@ -121,6 +122,7 @@
         headers: { Host: address },
         agent: false,
       });
+      responseGuard.guardResponse(req);
       const abort = (): void => {
         req.destroy(new Error('another relay was faster'));
       };
