--- a/src/control/orders/HttpEngineClient.ts
+++ b/src/control/orders/HttpEngineClient.ts
@@ -98,11 +98,6 @@
     });
     responseGuard.guardResponse(req);
     req.on('error', reject);
-    // Node closes the request without an error if the engine answers 101; no response is being read then.
-    req.once('upgrade', (res, socket) => {
-      socket.destroy();
-      reject(new Error(`the engine answered with status ${res.statusCode}`));
-    });
     req.end(body);
   });
 }
--- a/src/entry/endpoints/HttpEndpointClient.ts
+++ b/src/entry/endpoints/HttpEndpointClient.ts
@@ -132,7 +132,6 @@
         if (!hasHead && signal.aborted && req.reusedSocket) {
           this.closeIdle(endpoint);
         }
-        // Node closes the request without an error if the endpoint answers 101.
         reject(failureOf(pendingCall, signal));
       });
     });
