--- a/src/common/wire/ResponseEnd.test.ts
+++ b/src/common/wire/ResponseEnd.test.ts
@@ -4,6 +4,8 @@
 import * as responseEnd from './ResponseEnd.js';
 
 const { afterEach, beforeEach, describe, expect, test } = vitest;
+/** Time after which a slow reader starts. */
+const SLOW_READER_MS = 30;
 const OK = 'HTTP/1.1 200 OK\r\n';
 
 type EndFn = (socket: net.Socket) => void;
@@ -32,8 +34,11 @@
     server.close();
   });
 
-  /** Sends a request; resolves once its response is closed. */
-  function request(method = 'GET'): Promise<{ end: responseEnd.ResponseEnd; socket: net.Socket }> {
+  /** Sends a request and lets `read` read its response; resolves once that is closed. */
+  function request(
+    method = 'GET',
+    read = (res: http.IncomingMessage, _: http.ClientRequest): unknown => res.resume(),
+  ): Promise<{ end: responseEnd.ResponseEnd; socket: net.Socket }> {
     const { port } = server.address() as net.AddressInfo;
     return new Promise((resolve, reject) => {
       const req = http.request({ host: '127.0.0.1', port, method, agent }, (res) => {
@@ -44,7 +49,7 @@
         expect(end.kind).toBe(res.complete ? 'framed' : 'open');
         res.on('error', () => {});
         res.once('close', () => resolve({ end, socket }));
-        res.resume();
+        read(res, req);
       });
       req.on('error', reject);
       req.end();
@@ -74,6 +79,43 @@
     expect(end.isComplete).toBe(kind === 'framed' || kind === 'closed');
   });
 
+  test.each([
+    ['a proper end', CLOSE],
+    ['a reset', RESET],
+  ])(
+    'keeps a body with a length whole when its reader is slow and %s follows',
+    async (_, finish) => {
+      respond = (socket) => {
+        socket.write(`${OK}Content-Length: 2\r\n\r\nok`);
+        finish(socket);
+      };
+      const { end } = await request('GET', (res) => setTimeout(() => res.resume(), SLOW_READER_MS));
+      expect(end).toMatchObject({ kind: 'framed', isComplete: true });
+    },
+  );
+
+  test.each([
+    ['the request', (res: http.IncomingMessage, req: http.ClientRequest) => req.destroy()],
+    [
+      'the request with an error',
+      (res: http.IncomingMessage, req: http.ClientRequest) => req.destroy(new Error('no time')),
+    ],
+    ['the response', (res: http.IncomingMessage) => res.destroy()],
+    ['the socket', (res: http.IncomingMessage) => res.socket.destroy()],
+  ])(
+    'does not take a body without a length as whole after %s was destroyed',
+    async (_, destroy) => {
+      respond = (socket) => {
+        socket.write(`${OK}\r\nok`);
+      };
+      const { end } = await request('GET', (res, req) => {
+        res.resume();
+        res.once('data', () => destroy(res, req));
+      });
+      expect(end.isComplete).toBe(false);
+    },
+  );
+
   test.each([
     ['204', 'GET', 'HTTP/1.1 204 No Content\r\n\r\n'],
     ['304', 'GET', 'HTTP/1.1 304 Not Modified\r\n\r\n'],
