--- a/src/common/services/MetricsServer.ts
+++ b/src/common/services/MetricsServer.ts
@@ -23,8 +23,12 @@
         return;
       }
       refresh();
-      res.writeHead(200, { 'Content-Type': 'text/plain; version=0.0.4' });
-      res.end(registry.render());
+      const page = Buffer.from(registry.render());
+      res.writeHead(200, {
+        'Content-Type': 'text/plain; version=0.0.4',
+        'Content-Length': page.length,
+      });
+      res.end(page);
     });
     serverGuard.guardServer(this.server, GUARD, registry);
   }
--- a/src/entry/http/CallerBrokenAnswers.test.ts
+++ b/src/entry/http/CallerBrokenAnswers.test.ts
@@ -152,3 +152,12 @@
   await caller?.until(() => settled.length > 0, LIMIT_MS);
   expect(settled).toHaveLength(1);
 });
+
+test.each(KINDS)('%s: the answer to a health check has its length', async (kind) => {
+  server = await testCallerServer.TestCallerServer.start(() => Promise.reject(new Error('none')));
+  caller = new rawExchange.RawExchange(server.port, `GET /healthz ${HEADS[kind]}\r\n`);
+  await caller.until(({ isWhole, end }) => isWhole || end !== 'open', LIMIT_MS);
+  const { text, isWhole, isWholeIfCut } = caller;
+  expect(text).toMatch(/^HTTP\/1.1 200 [^]*\r\ncontent-length: \d+\r\n/);
+  expect({ isWhole, isWholeIfCut }).toEqual({ isWhole: true, isWholeIfCut: false });
+});
--- a/src/entry/http/CallerServer.ts
+++ b/src/entry/http/CallerServer.ts
@@ -159,8 +159,13 @@
 
   private answerHealth(res: http.ServerResponse, kind: 'health' | 'ready'): void {
     const ok = kind === 'health' || (this.requests.ready && !this.draining);
-    const body = JSON.stringify({ ok, draining: this.draining, config: this.requests.version });
-    res.writeHead(ok ? 200 : 503, { 'content-type': 'application/json' });
+    const body = Buffer.from(
+      JSON.stringify({ ok, draining: this.draining, config: this.requests.version }),
+    );
+    res.writeHead(ok ? 200 : 503, {
+      'content-type': 'application/json',
+      'content-length': body.length,
+    });
     res.end(body);
   }
 
