--- a/src/common/wire/ResponseHeadCheck.test.ts
+++ b/src/common/wire/ResponseHeadCheck.test.ts
@@ -28,6 +28,7 @@
       'a head behind informational ones',
       `HTTP/1.1 100 X\r\n\r\nHTTP/1.1 103 X\r\nA: 1\r\n\r\n${HEAD}\r\n`,
     ],
+    ['a body in chunks', 'HTTP/1.1 200 OK\r\nTransfer-Encoding:  Chunked \r\n\r\n'],
     [
       'a head with other bytes in reason and values',
       `HTTP/1.1 200 \xe9\t\r\nA: \xe9\t"\r\nB:\r\n\r\n`,
@@ -49,6 +50,8 @@
     ['no colon', `${HEAD}A\r\n\r\n`],
     ['a lone line feed', `${HEAD}\nA: 1\r\n\r\n`],
     ['a lone carriage return', `${HEAD}\rA: 1\r\n\r\n`],
+    ['another transfer coding', 'HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n'],
+    ['a transfer coding before chunks', `HTTP/1.1 200 OK\r\nTransfer-Encoding: x, chunked\r\n\r\n`],
     ['a carriage return too many', `${HEAD}\r\r\n`],
   ])('does not miss %s, however the head is split', (_, text) => {
     splits(text).forEach((parts) => expect(check(parts).fault).toMatch(/^response with a broken /));
--- a/src/common/wire/ResponseHeadCheck.ts
+++ b/src/common/wire/ResponseHeadCheck.ts
@@ -2,6 +2,10 @@
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
 /** Matches the start of a header (RFC 9112, 5), up to its value. */
 const HEADER_START = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+:/;
+/** Matches the beginning of a header that names transfer codings. */
+const CODINGS_START = /^transfer-encoding:/i;
+/** The one transfer coding that needs no request for it (RFC 9112, 7.4); with any other one the body is not the sender's. */
+const CHUNKED = /^[^:]*:[ \t]*chunked *$/i;
 /** Matches a line with its break. */
 const LINE = /([^\r\n]*)\r\n/y;
 /** Matches the beginning of a line, with that of its break. */
@@ -43,6 +47,9 @@
 
   private hasEnded = false;
 
+  /** Whether the head names transfer codings. */
+  private hasCodings = false;
+
   /** Whether the final head has been read to its end. */
   get isDone(): boolean {
     return this.hasEnded;
@@ -76,9 +83,20 @@
     if (line === '') {
       this.hasEnded = this.status >= MIN_FINAL_STATUS;
       this.status = undefined;
+      this.hasCodings = false;
       return undefined;
     }
-    return HEADER_START.test(line) ? undefined : describe('header', line);
+    if (!HEADER_START.test(line)) {
+      return describe('header', line);
+    }
+    return CODINGS_START.test(line) ? this.checkCodings(line) : undefined;
+  }
+
+  /** Node's parser reads a body in other codings up to the end of the connection, or hands it on as it is coded. */
+  private checkCodings(line: string): string | undefined {
+    const isOnly = !this.hasCodings;
+    this.hasCodings = true;
+    return isOnly && CHUNKED.test(line) ? undefined : describe('transfer coding', line);
   }
 
   private checkStatusLine(line: string): string | undefined {
