--- a/src/common/testing/RawExchange.ts
+++ b/src/common/testing/RawExchange.ts
@@ -71,12 +71,13 @@
   /** The connection. */
   readonly socket: net.Socket;
 
-  /** Connects to a loopback port and sends `request`. */
+  /** Connects to a port of a loopback address and sends `request`. */
   constructor(
     port: number,
     readonly request: string,
+    host = '127.0.0.1',
   ) {
-    this.socket = net.connect({ port, host: '127.0.0.1' });
+    this.socket = net.connect({ port, host });
     this.socket.on('data', (bytes: Buffer) => {
       this.text += bytes.toString('latin1');
     });
