--- a/src/control/testing/PostingCaller.ts
+++ b/src/control/testing/PostingCaller.ts
@@ -2,6 +2,7 @@
 import type * as commonTypes from '../../common/Types.js';
 import * as requestError from '../../common/RequestError.js';
 import * as recordingLog from '../../common/testing/RecordingLogService.js';
+import * as responseEnd from '../../common/wire/ResponseEnd.js';
 import * as atMostOnceRunner from '../../entry/pipeline/AtMostOnceRunner.js';
 import type * as pipelineTypes from '../../entry/pipeline/Types.js';
 import * as controlServices from '../../entry/services/ControlServices.js';
@@ -110,10 +111,15 @@
       const headers = { 'idempotency-key': key };
       const { port } = this;
       const req = http.request({ host: '127.0.0.1', port, method: 'POST', headers }, (res) => {
+        const end = new responseEnd.ResponseEnd(res);
         const chunks: Buffer[] = [];
         res.on('data', (chunk: Buffer) => chunks.push(chunk));
         res.on('error', reject);
         res.on('end', () => {
+          if (!end.isComplete) {
+            reject(new Error('the answer broke off'));
+            return;
+          }
           const body = Buffer.concat(chunks);
           resolve({ kind: 'whole', status: 201, contentType: 'text/plain', body });
         });
--- a/src/gateway/AnswerBody.ts
+++ b/src/gateway/AnswerBody.ts
@@ -21,7 +21,7 @@
  * while `memory` has no room, the rest of the body waits at the endpoint.
  *
  * @example
- * const result = await readBody(res, () => res.complete, MAX_BODY_BYTES, memory);
+ * const result = await readBody(res, () => end.isComplete, MAX_BODY_BYTES, memory);
  */
 export async function readBody(
   body: stream.Readable,
