--- a/src/common/wire/ResponseHeadCheck.ts
+++ b/src/common/wire/ResponseHeadCheck.ts
@@ -2,10 +2,8 @@
 const STATUS_LINE = /^HTTP\/1\.[01] ([1-5]\d\d)(?: [\t\x20-\x7e\x80-\xff]*)?$/;
 /** Matches the start of a header (RFC 9112, 5), up to its value. */
 const HEADER_START = /^[!#$%&'*+\-.^_`|~\dA-Za-z]+:/;
-/** Matches a line with its break. */
-const LINE = /([^\r\n]*)\r\n/y;
-/** Matches the beginning of a line, with that of its break. */
-const LINE_BEGINNING = /[^\r\n]*\r?$/y;
+/** Matches each character of a line break. */
+const BREAK = /[\r\n]/g;
 /** Characters of a broken line that are reported. */
 const MAX_REPORTED_LENGTH = 64;
 /** Status that switches to another protocol, which no request asks for. */
@@ -35,8 +33,11 @@
  * });
  */
 export class ResponseHeadCheck {
-  /** Beginning of a line whose end has not arrived. */
-  private beginning = '';
+  /** The line that is being read, without its break. */
+  private line = '';
+
+  /** Whether a CR has ended the line, whose LF has not arrived. */
+  private isBreaking = false;
 
   /** Status of the head that is being read; undefined in front of its status line. */
   private status: number | undefined;
@@ -50,23 +51,30 @@
 
   /** Checks the next bytes; returns what breaks HTTP, if anything does. Not to be called after a fault. */
   findFault(bytes: Buffer): string | undefined {
-    const text = this.beginning + bytes.toString('latin1');
+    const text = bytes.toString('latin1');
+    let fault: string | undefined;
     let start = 0;
-    while (!this.hasEnded) {
-      LINE.lastIndex = start;
-      const line = LINE.exec(text)?.[1];
-      if (line === undefined) {
-        this.beginning = text.slice(start);
-        LINE_BEGINNING.lastIndex = start;
-        return LINE_BEGINNING.test(text) ? undefined : describe('line break', text, start);
-      }
-      const fault = this.checkLine(line);
-      if (fault !== undefined) {
-        return fault;
+    while (start < text.length && !this.hasEnded && fault === undefined) {
+      if (this.isBreaking) {
+        fault = text[start] === '\n' ? this.endLine() : describe('line break', this.line);
+        start += 1;
+      } else {
+        BREAK.lastIndex = start;
+        const end = BREAK.exec(text)?.index ?? text.length;
+        this.line += text.slice(start, end);
+        this.isBreaking = text[end] === '\r';
+        fault = text[end] === '\n' ? describe('line break', this.line) : undefined;
+        start = end + 1;
       }
-      start = LINE.lastIndex;
     }
-    return undefined;
+    return fault;
+  }
+
+  private endLine(): string | undefined {
+    const { line } = this;
+    this.line = '';
+    this.isBreaking = false;
+    return this.checkLine(line);
   }
 
   private checkLine(line: string): string | undefined {
@@ -94,7 +102,6 @@
   }
 }
 
-function describe(what: string, text: string, start = 0): string {
-  const found = text.slice(start, start + MAX_REPORTED_LENGTH);
-  return `response with a broken ${what}: ${JSON.stringify(found)}`;
+function describe(what: string, line: string): string {
+  return `response with a broken ${what}: ${JSON.stringify(line.slice(0, MAX_REPORTED_LENGTH))}`;
 }
